--- /dev/null
+++ b/src/control.rs
@@ -0,0 +1,954 @@
+//! Every decision of a gateway. Its types stand in `src/interface.rs`; sections follow a request's way.
+use crate::interface::*;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, VecDeque};
+
+/// Ticks between two wake-ups: deadlines, checks and gossip are looked at this often. More saves CPU.
+const WAKE_TICKS: u64 = 5;
+/// Microseconds in a second.
+const SECOND: f64 = 1e6;
+/// The ageing time: a customer unseen for this long is green, and is forgotten once its store is full (design).
+const AGING: Micros = 10_000_000;
+/// Shares of amber that pass on rungs 1 to 3 (paper, table I); green is cut alike from rung 2.
+const AMBER: [f64; 4] = [1.0, 0.9, 0.7, 0.5];
+/// The last rung: preferred only.
+const LAST_RUNG: usize = 4;
+/// The least stay on a rung, upward and downward: several times an aim, so that a rung's effect is seen.
+const RUNG_UP: Micros = 1_000_000;
+const RUNG_DOWN: Micros = 2_000_000;
+/// Pressure (mean of answer time over aim) that raises an alert and that ends it: between them nothing moves.
+const ALERT_ON: f64 = 0.6;
+const ALERT_OFF: f64 = 0.4;
+/// Memory of the pressure in seconds: about the time of some dozen answers.
+const PRESSURE_TAU: f64 = 1.0;
+/// Memory of rates of use in seconds: longer than a client's pause, shorter than shifts of weight.
+const RATE_TAU: f64 = 2.0;
+/// The share of an aim that a request may be held for a free place; held longer it would fail late.
+const HOLD: f64 = 0.3;
+/// The share of an aim after which an attempt at a silent backend is repeated elsewhere, if that may be.
+const SILENCE: f64 = 0.35;
+/// The share of an aim after which an attempt at a talking backend gets a second copy, if that may be.
+const HEDGE: f64 = 0.6;
+/// Further attempts per first attempt, and the store of them: retries cannot feed an overload.
+const RETRY_SHARE: f64 = 0.1;
+const RETRY_STORE: f64 = 10.0;
+/// The part of the rule's budget that is spent on a cold backend: the rest covers chance and other work.
+const COLD_MARGIN: f64 = 0.6;
+/// Share of errors in recent answers from which a backend gets a trickle only.
+const SICK_ERRORS: f64 = 0.25;
+/// How long a silent or failing backend rests before one attempt tries it again; doubles up to 2^3.
+const REST: Micros = 500_000;
+/// A gossip message: version, bytes of its head and of an entry, and the most that the wire carries.
+const GOSSIP: u8 = 1;
+const GIFT: u8 = 2;
+const HEAD: usize = 10;
+const ENTRY: usize = 9;
+const MESSAGE: usize = 256;
+/// Report periods without any message after which a peer is silent (design: two; lost messages ask for more).
+const SILENT_PERIODS: u64 = 4;
+
+struct Attempt {
+    backend: BackendId,
+    sent: Micros,
+    out: bool,
+    cancelled: bool,
+}
+
+struct Open {
+    req: Request,
+    arrived: Micros,
+    attempts: Vec<Attempt>,
+    /// Index of the first attempt that ran or may have run.
+    may_have_run: Option<usize>,
+    done: bool,
+    streaming: bool,
+}
+
+impl Open {
+    fn out(&self) -> usize {
+        self.attempts.iter().filter(|a| a.out).count()
+    }
+}
+
+#[derive(Default)]
+struct Heard {
+    total: u16,
+    rate: f64,
+    at: Micros,
+    open: u8,
+}
+
+#[derive(Default)]
+struct Customer {
+    plan: usize,
+    /// The quota's store, as far as known here, and when it was last filled.
+    level: f64,
+    filled: Micros,
+    /// This gateway's own share of the ceiling's store.
+    ceiling: f64,
+    /// Units sent on by this gateway since its start.
+    used: f64,
+    rate: f64,
+    rate_at: Micros,
+    open: u32,
+    width: f64,
+    first: u16,
+    seen: Micros,
+    /// How many more messages name this customer.
+    dirty: u8,
+    heard: BTreeMap<u16, Heard>,
+}
+
+#[derive(Default)]
+struct Peer {
+    born: u32,
+    seq: u32,
+    gift_seq: u32,
+    zone: u8,
+    heard: Micros,
+}
+
+struct Backend {
+    listed: Listed,
+    ready: bool,
+    out: u32,
+    /// Mean answer time over what the class usually takes; 1 is normal.
+    slow: f64,
+    errors: f64,
+    heard: Micros,
+    rest_until: Micros,
+    strikes: u32,
+    queue: f64,
+    /// Recent sends while cold.
+    cold_sends: VecDeque<Micros>,
+}
+
+/// One gateway's decisions. Feed it events, do what it asks.
+pub struct Gateway {
+    s: Settings,
+    rng: u64,
+    now: Micros,
+    born: Micros,
+    wake_at: Micros,
+    requests: BTreeMap<RequestId, Open>,
+    waiting: VecDeque<RequestId>,
+    checks: BinaryHeap<Reverse<(Micros, RequestId)>>,
+    customers: BTreeMap<CustomerId, Customer>,
+    peers: BTreeMap<u16, Peer>,
+    backends: BTreeMap<BackendId, Backend>,
+    /// Per zone: last proof that it can be reached, last sign that it cannot.
+    zones: BTreeMap<u8, (Micros, Micros)>,
+    usual: Vec<f64>,
+    pressure: f64,
+    pressure_at: Micros,
+    rung: usize,
+    rung_since: Micros,
+    limit: f64,
+    limit_at: Micros,
+    out: u32,
+    retries: f64,
+    sent_rate: f64,
+    sent_at: Micros,
+    gossip_at: Micros,
+    seq: u32,
+    gift_seq: u32,
+    watch_at: Micros,
+    shares: u64,
+}
+
+fn decay(from: Micros, to: Micros, tau: f64) -> f64 {
+    (-(to.saturating_sub(from) as f64) / SECOND / tau).exp()
+}
+
+impl Gateway {
+    /// A gateway that starts now and knows nothing yet.
+    pub fn new(settings: Settings, seed: u64, now: Micros) -> Self {
+        let usual = settings.classes.iter().map(|c| c.aim as f64 * 0.15).collect();
+        Gateway {
+            rng: seed,
+            now,
+            born: now,
+            wake_at: 0,
+            requests: BTreeMap::new(),
+            waiting: VecDeque::new(),
+            checks: BinaryHeap::new(),
+            customers: BTreeMap::new(),
+            peers: BTreeMap::new(),
+            backends: BTreeMap::new(),
+            zones: BTreeMap::new(),
+            usual,
+            pressure: 0.0,
+            pressure_at: now,
+            rung: 0,
+            rung_since: now,
+            limit: 0.0,
+            limit_at: now,
+            out: 0,
+            retries: RETRY_STORE,
+            sent_rate: 0.0,
+            sent_at: now,
+            gossip_at: now,
+            seq: 0,
+            gift_seq: 0,
+            watch_at: now,
+            shares: u64::from(settings.gateways.max(1)),
+            s: settings,
+        }
+    }
+
+    /// Takes one event and appends what the host is to do.
+    pub fn handle(&mut self, now: Micros, event: Event, act: &mut Vec<Action>) {
+        self.now = self.now.max(now);
+        match event {
+            Event::Request(req) => self.on_request(req, act),
+            Event::Settled { id, attempt, backend, outcome, complete, took, charged, report, .. } => {
+                self.on_answer(backend, outcome, took, id, report);
+                self.on_settled(id, attempt, outcome, complete, charged, act);
+            }
+            Event::Withdrawn(id) => self.on_gone(id, act),
+            Event::FirstByte { id, attempt } => self.on_first_byte(id, attempt, act),
+            Event::Peer { from, bytes } => self.on_peer(from, &bytes, act),
+            Event::Roster(kind, list) => self.on_roster(kind, list, act),
+            Event::Timer(_) if self.now < self.wake_at => return,
+            Event::Timer(_) | Event::Probed { .. } | Event::Counted { .. } => {}
+        }
+        if self.now >= self.wake_at {
+            self.on_wake(act);
+            let delay = (WAKE_TICKS * self.s.tick).max(1);
+            self.wake_at = self.now + delay;
+            act.push(Action::SetTimer { delay, token: 0 });
+        }
+    }
+
+    fn random(&mut self) -> f64 {
+        self.rng = self.rng.wrapping_add(0x9E37_79B9_7F4A_7C15);
+        let mut z = self.rng;
+        z = (z ^ (z >> 30)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
+        z = (z ^ (z >> 27)).wrapping_mul(0x94D0_49BB_1331_11EB);
+        ((z ^ (z >> 31)) >> 11) as f64 / (1u64 << 53) as f64
+    }
+
+    // ---- 1. A request arrives: its colour, its store, the ladder ----
+
+    fn on_request(&mut self, req: Request, act: &mut Vec<Action>) {
+        let known =
+            usize::from(req.class) < self.s.classes.len() && usize::from(req.plan) < self.s.plans.len();
+        let sane = req.units.is_finite() && req.units >= 0.0 && !self.requests.contains_key(&req.id);
+        if !known || !sane || req.deadline <= self.now {
+            act.push(Action::Refuse { id: req.id, pause: 0 });
+            return;
+        }
+        let unseen = self.meet(&req);
+        let (quota_wait, ceiling_wait) = self.wait_for_room(&req);
+        if let Some(wait) = quota_wait.into_iter().chain(ceiling_wait).reduce(f64::max) {
+            self.refuse(req.id, (wait * SECOND) as Micros, act); // red
+            return;
+        }
+        if !self.ladder_passes(usize::from(req.plan), unseen) {
+            self.refuse(req.id, RUNG_UP, act);
+            return;
+        }
+        let full = self.out as f64 >= self.limit || !self.waiting.is_empty();
+        if full && self.waiting.len() as f64 >= self.limit * HOLD {
+            self.refuse(req.id, RUNG_UP, act); // no place, none soon
+            return;
+        }
+        self.charge(&req, 1.0);
+        let open = Open {
+            req,
+            arrived: self.now,
+            attempts: Vec::new(),
+            may_have_run: None,
+            done: false,
+            streaming: false,
+        };
+        self.requests.insert(req.id, open);
+        self.waiting.push_back(req.id);
+        self.dispatch(act);
+    }
+
+    fn refuse(&self, id: RequestId, pause: Micros, act: &mut Vec<Action>) {
+        let most = if self.s.limits.retry_after { self.s.limits.max_retry_after } else { 0 };
+        act.push(Action::Refuse { id, pause: pause.min(most) });
+    }
+
+    /// Notes the customer; true if it was unseen within the ageing time.
+    fn meet(&mut self, req: &Request) -> bool {
+        let (now, born) = (self.now, self.born);
+        let plan = &self.s.plans[usize::from(req.plan)];
+        let most = self.s.gateways.max(1) as f64;
+        let width = if req.width.is_finite() { req.width.clamp(1.0, most) } else { most };
+        let life = (now - born) as f64 / SECOND;
+        let c = self.customers.entry(req.customer).or_insert_with(|| Customer {
+            plan: usize::from(req.plan),
+            // A customer unseen here: its share, or one request, and what has filled since this start.
+            level: ((plan.burst / width).max(req.units) + plan.rate * life).min(plan.burst),
+            // The ceiling's share counts from nothing at this start: what went before is not known here.
+            ceiling: (plan.ceiling_rate / width * life).min(plan.ceiling_burst / width),
+            filled: now,
+            width,
+            ..Customer::default()
+        });
+        let unseen = c.seen == 0 || now - c.seen > AGING;
+        if c.width != width {
+            c.ceiling = c.ceiling.min(plan.ceiling_burst / width.max(c.width));
+            c.width = width;
+        }
+        c.plan = usize::from(req.plan);
+        c.first = if req.first >= 0.0 && req.first < most { req.first as u16 } else { 0 };
+        c.seen = now;
+        unseen
+    }
+
+    /// Fills a customer's stores up to now.
+    fn fill(&mut self, id: CustomerId) {
+        let now = self.now;
+        let cut: Vec<u16> = self.peers.iter().filter(|(_, p)| self.is_cut(p)).map(|(n, _)| *n).collect();
+        let Some(c) = self.customers.get_mut(&id) else { return };
+        let plan = &self.s.plans[c.plan];
+        let span = (now - c.filled) as f64 / SECOND;
+        // Peers behind a cut go on using the store unheard: their last known rate is taken off the filling.
+        let unheard: f64 = cut.iter().filter_map(|n| c.heard.get(n)).map(|h| h.rate).sum();
+        let own = c.rate.max(plan.rate / c.width.max(1.0) * 0.1);
+        let filling = plan.rate * (1.0 - unheard / (unheard + own));
+        c.level = (c.level + filling * span).min(plan.burst);
+        c.ceiling = (c.ceiling + plan.ceiling_rate / c.width.max(1.0) * span)
+            .min(plan.ceiling_burst / c.width.max(1.0));
+        c.filled = now;
+        c.rate *= decay(c.rate_at, now, RATE_TAU);
+        c.rate_at = now;
+        for (n, h) in &mut c.heard {
+            if !cut.contains(n) {
+                h.rate *= decay(h.at, now, RATE_TAU);
+            }
+            h.at = now;
+        }
+    }
+
+    /// Seconds until the quota, and the ceiling, may have room; none where there is room now.
+    fn wait_for_room(&mut self, req: &Request) -> (Option<f64>, Option<f64>) {
+        self.fill(req.customer);
+        let (now, period) = (self.now, self.gossip_period());
+        let c = &self.customers[&req.customer];
+        let plan = &self.s.plans[c.plan];
+        let mut others = 0.0; // rate of the peers
+        let mut unheard = 0.0; // what they may have let through since they were last heard
+        let mut open = c.open;
+        for (n, h) in &c.heard {
+            let Some(peer) = self.peers.get(n) else { continue };
+            if now - peer.heard > SILENT_PERIODS * period && !self.is_cut(peer) {
+                continue; // silent: counts as nought
+            }
+            others += h.rate;
+            unheard += h.rate * (now - peer.heard + period) as f64 / SECOND;
+            open += u32::from(h.open);
+        }
+        let mut quota = None;
+        if plan.rate > 0.0 {
+            let share = if others > 0.0 { c.rate / (c.rate + others) } else { 1.0 };
+            // The room left, split by use heard; the peers' part is no more than what they pass unheard.
+            let room = c.level - unheard.min(c.level * (1.0 - share));
+            if room + 1e-9 < req.units {
+                quota = Some((req.units - room) / plan.rate);
+            }
+        }
+        if plan.open_cap > 0 && open >= plan.open_cap {
+            quota = Some(quota.unwrap_or(0.0).max(self.usual[usize::from(req.class)] / SECOND));
+        }
+        let short = plan.ceiling_rate > 0.0 && c.ceiling + 1e-9 < req.units;
+        let ceiling = short.then(|| (req.units - c.ceiling) / (plan.ceiling_rate / c.width.max(1.0)));
+        (quota, ceiling)
+    }
+
+    /// Draws a request's units from the stores, or gives them back (`sign` -1) when it was never sent.
+    fn charge(&mut self, req: &Request, sign: f64) {
+        let Some(c) = self.customers.get_mut(&req.customer) else { return };
+        let plan = &self.s.plans[c.plan];
+        let units = req.units * sign;
+        c.level = (c.level - units).clamp(0.0, plan.burst);
+        c.ceiling = (c.ceiling - units).min(plan.ceiling_burst / c.width.max(1.0));
+        c.used += units;
+        c.rate = (c.rate + units / RATE_TAU).max(0.0);
+        c.dirty = 2;
+    }
+
+    fn preferred(&self, plan: usize) -> bool {
+        let top = self.s.plans.iter().map(|p| p.price).fold(f64::MIN, f64::max);
+        self.s.plans.iter().any(|p| p.price < top) && self.s.plans[plan].price >= top
+    }
+
+    fn ladder_passes(&mut self, plan: usize, green: bool) -> bool {
+        let differ = self.s.plans.windows(2).any(|p| p[0].price != p[1].price);
+        if self.rung == 0 || self.preferred(plan) || (green && self.rung < 2) {
+            return true;
+        }
+        let share = match self.rung {
+            LAST_RUNG if differ => 0.0,
+            rung => AMBER[rung.min(3)],
+        };
+        self.random() < share
+    }
+
+    // ---- 2. The alert: pressure, rungs, and the bound on what is out ----
+
+    fn feel(&mut self, ratio: f64) {
+        let keep = decay(self.pressure_at, self.now, PRESSURE_TAU).min(0.98);
+        self.pressure = self.pressure * keep + ratio.min(2.0) * (1.0 - keep);
+        self.pressure_at = self.now;
+        if self.pressure < ALERT_OFF && self.out as f64 > self.limit * 0.7 {
+            self.limit += 1.0 / self.limit.max(1.0);
+        }
+    }
+
+    fn step_alert(&mut self, act: &mut Vec<Action>) {
+        let since = self.now - self.rung_since;
+        let rung = self.rung;
+        if self.pressure > ALERT_ON && since > RUNG_UP && rung < LAST_RUNG {
+            self.rung += 1;
+        } else if self.pressure < ALERT_OFF && since > RUNG_DOWN && rung > 0 {
+            self.rung -= 1;
+        }
+        if rung != self.rung {
+            self.rung_since = self.now;
+            act.push(Action::Log(format!(
+                "ladder: rung {rung} to {}, pressure {:.2}, limit {:.0}, out {}",
+                self.rung, self.pressure, self.limit, self.out
+            )));
+        }
+        let size: f64 = self.backends.values().filter(|b| b.ready).count() as f64;
+        if self.limit == 0.0 && size > 0.0 {
+            self.limit = size * 12.0 / self.shares as f64;
+        }
+        let longest = self.usual.iter().copied().fold(0.0, f64::max) as Micros;
+        if self.pressure > (ALERT_ON + ALERT_OFF) / 2.0 && self.now - self.limit_at > longest {
+            self.limit = (self.limit.min(self.out as f64 + 1.0) * 0.9).max(size * 2.0 / self.shares as f64);
+            self.limit_at = self.now;
+        }
+    }
+
+    // ---- 3. Choice of a backend ----
+
+    fn dispatch(&mut self, act: &mut Vec<Action>) {
+        while let Some(id) = self.waiting.front().copied() {
+            let ready = self.requests.get(&id).is_some_and(|o| !o.done && o.out() == 0);
+            if ready {
+                if self.out as f64 >= self.limit && self.limit > 0.0 {
+                    return;
+                }
+                if !self.send(id, act) {
+                    return;
+                }
+            }
+            self.waiting.pop_front();
+        }
+    }
+
+    fn warmth(&self, b: &Backend) -> f64 {
+        let age = self.now.saturating_sub(b.listed.started);
+        if b.listed.started == 0 || age >= self.s.rules.cold_time {
+            return 1.0;
+        }
+        let from = self.s.rules.cold_from;
+        from + (1.0 - from) * age as f64 / self.s.rules.cold_time.max(1) as f64
+    }
+
+    /// What may still be sent to a cold backend in the rule's window by this gateway alone.
+    fn cold_room(&self, b: &Backend, warmth: f64) -> bool {
+        if warmth >= 1.0 {
+            return true;
+        }
+        let span = self.s.rules.fall_time;
+        let recent = b.cold_sends.iter().filter(|t| **t + span > self.now).count() as f64;
+        let size: f64 = self.backends.values().filter(|b| b.ready).map(|b| b.listed.size.max(0.1)).sum();
+        let fair =
+            self.sent_rate * decay(self.sent_at, self.now, RATE_TAU) * b.listed.size.max(0.1) / size.max(0.1);
+        let budget = self.s.rules.fall_factor * warmth * fair * span as f64 / SECOND * COLD_MARGIN;
+        recent + 1.0 <= budget.max(1.0)
+    }
+
+    fn resting(&self, b: &Backend) -> bool {
+        b.strikes > 0 && (self.now < b.rest_until || b.out > 0)
+    }
+
+    fn choose(&mut self, id: RequestId) -> Option<BackendId> {
+        let noise = self.random();
+        let o = &self.requests[&id];
+        let class = &self.s.classes[usize::from(o.req.class)];
+        let ready = self.backends.values().filter(|b| b.ready).count();
+        let shunned = self.backends.values().filter(|b| b.ready && self.resting(b)).count();
+        let bound = match (class.repeat, o.may_have_run) {
+            (Repeat::Keyed { group, window }, Some(n)) => {
+                let first = &o.attempts[n];
+                if self.now + self.s.tick >= first.sent + window {
+                    return None;
+                }
+                self.backends.get(&first.backend).map(|b| (group, b.listed))
+            }
+            _ => None,
+        };
+        let mut best: Option<(f64, BackendId)> = None;
+        for (i, (bid, b)) in self.backends.iter().enumerate() {
+            let fits = match bound {
+                None | Some((Group::All, _)) => true,
+                Some((Group::Zone, l)) => b.listed.zone == l.zone,
+                Some((Group::Cell, l)) => b.listed.cell == l.cell,
+            };
+            let tried = o.attempts.iter().any(|a| a.backend == *bid);
+            let warmth = self.warmth(b);
+            // Shunning most of the fleet would push the rest over: then nobody is shunned.
+            if !b.ready || !fits || (shunned * 2 <= ready && self.resting(b)) || !self.cold_room(b, warmth) {
+                continue;
+            }
+            let size = match self.s.sizes {
+                SizeMeaning::Capacity if b.listed.size > 0.0 => b.listed.size,
+                _ => 1.0,
+            };
+            let jitter = 1.0 + 0.1 * ((noise + i as f64 * 0.618_034) % 1.0);
+            let far = if b.listed.zone == self.s.zone { 1.0 } else { 1.05 };
+            let mut cost = (f64::from(b.out) + 1.0 + b.queue / self.shares as f64) * b.slow / (size * warmth);
+            cost *= jitter * far * (1.0 + 10.0 * b.errors) * if tried { 8.0 } else { 1.0 };
+            if best.is_none_or(|(c, _)| cost < c) {
+                best = Some((cost, *bid));
+            }
+        }
+        best.map(|(_, b)| b)
+    }
+
+    /// Sends a request's next attempt; false if no backend may take it now.
+    fn send(&mut self, id: RequestId, act: &mut Vec<Action>) -> bool {
+        let Some(bid) = self.choose(id) else { return false };
+        let now = self.now;
+        let Some(o) = self.requests.get_mut(&id) else { return false };
+        let aim = self.s.classes[usize::from(o.req.class)].aim;
+        if o.attempts.is_empty() {
+            self.retries = (self.retries + RETRY_SHARE).min(RETRY_STORE);
+        }
+        o.may_have_run = o.may_have_run.or(Some(o.attempts.len()));
+        o.attempts.push(Attempt { backend: bid, sent: now, out: true, cancelled: false });
+        if let Some(c) = self.customers.get_mut(&o.req.customer) {
+            c.open += 1;
+            c.dirty = 2;
+        }
+        self.checks.push(Reverse((now + (aim as f64 * SILENCE) as Micros, id)));
+        self.out += 1;
+        self.sent_rate = self.sent_rate * decay(self.sent_at, now, RATE_TAU) + 1.0 / RATE_TAU;
+        self.sent_at = now;
+        if let Some(b) = self.backends.get_mut(&bid) {
+            b.out += 1;
+            b.cold_sends.push_back(now);
+            while b.cold_sends.front().is_some_and(|t| *t + self.s.rules.fall_time < now) {
+                b.cold_sends.pop_front();
+            }
+        }
+        act.push(Action::Send { id, backend: bid, expires: 0 });
+        true
+    }
+
+    // ---- 4. Answers: health, further attempts, the final answer ----
+
+    fn on_answer(
+        &mut self,
+        bid: BackendId,
+        outcome: Outcome,
+        took: Micros,
+        id: RequestId,
+        report: Option<Report>,
+    ) {
+        let class = self.requests.get(&id).map(|o| usize::from(o.req.class));
+        let (now, shares) = (self.now, self.shares as f64);
+        let Some(b) = self.backends.get_mut(&bid) else { return };
+        if let Some(queue) = report.and_then(|r| r.queue) {
+            b.queue = queue.clamp(0.0, 1000.0);
+        }
+        let zone = self.zones.entry(b.listed.zone).or_insert((0, 0));
+        match outcome {
+            Outcome::Ok | Outcome::Error | Outcome::Full => zone.0 = now,
+            Outcome::ConnectFailed | Outcome::TimedOut => zone.1 = now,
+            _ => {}
+        }
+        if matches!(outcome, Outcome::Moot | Outcome::Cancelled | Outcome::TimedOut) {
+            return;
+        }
+        b.heard = now;
+        let bad = matches!(outcome, Outcome::Error | Outcome::ConnectFailed | Outcome::Reset);
+        b.errors += 0.15 * (f64::from(u8::from(bad)) - b.errors);
+        if bad && (b.errors > SICK_ERRORS || b.strikes > 0) {
+            b.rest_until = now + (REST << b.strikes.min(3));
+            b.strikes += 1;
+        } else if !bad && b.strikes > 0 && b.errors < SICK_ERRORS {
+            b.strikes = 0;
+        }
+        let Some(class) = class else { return };
+        let aim = self.s.classes[class].aim.max(1) as f64;
+        match outcome {
+            Outcome::Ok => {
+                let took = took as f64;
+                b.slow += 0.1 * ((took / self.usual[class].max(1.0)).min(4.0) - b.slow);
+                b.slow = b.slow.max(0.3);
+                self.usual[class] += 0.02 * (took - self.usual[class]);
+                self.feel(took / aim);
+            }
+            Outcome::Full => {
+                b.queue += shares;
+                self.feel(1.0);
+            }
+            _ => {}
+        }
+    }
+
+    fn on_settled(
+        &mut self,
+        id: RequestId,
+        attempt: u16,
+        outcome: Outcome,
+        complete: bool,
+        charged: Option<f64>,
+        act: &mut Vec<Action>,
+    ) {
+        let Some(o) = self.requests.get_mut(&id) else { return };
+        let Some(a) = o.attempts.get_mut(usize::from(attempt)).filter(|a| a.out) else { return };
+        a.out = false;
+        self.out = self.out.saturating_sub(1);
+        if let Some(b) = self.backends.get_mut(&a.backend) {
+            b.out = b.out.saturating_sub(1);
+        }
+        if let Some(c) = self.customers.get_mut(&o.req.customer) {
+            c.open = c.open.saturating_sub(1);
+            c.dirty = c.dirty.max(1);
+            if let Some(more) = charged.filter(|_| self.s.post_paid).map(|u| u - o.req.units) {
+                c.level -= more;
+                c.used += more;
+            }
+        }
+        if outcome.never_ran() && o.may_have_run == Some(usize::from(attempt)) {
+            let later = (0..o.attempts.len()).skip(usize::from(attempt) + 1);
+            o.may_have_run = later.into_iter().find(|n| o.attempts[*n].out);
+        }
+        if complete || outcome == Outcome::Ok {
+            o.done = true;
+        }
+        if o.done {
+            self.on_gone(id, act);
+        } else if o.out() == 0 {
+            let late = outcome == Outcome::TimedOut && self.now + self.s.tick >= o.req.deadline;
+            if late || !self.again(id, act) {
+                self.finish(id, act);
+            }
+        }
+        self.dispatch(act);
+    }
+
+    /// Tries a further attempt, where the class, the time and the budget allow one.
+    fn again(&mut self, id: RequestId, act: &mut Vec<Action>) -> bool {
+        let o = &self.requests[&id];
+        let class = &self.s.classes[usize::from(o.req.class)];
+        let allowed = match (class.repeat, o.may_have_run) {
+            (_, None) | (Repeat::Safe | Repeat::Keyed { .. }, _) => true,
+            (Repeat::Once, Some(_)) => false,
+        };
+        let useful = self.now < (o.arrived + class.aim).min(o.req.deadline);
+        let room = (o.attempts.len() as u32) < self.s.limits.max_attempts;
+        let single = o.out() == 0 || self.s.limits.second_copies;
+        if !allowed || !useful || !room || !single || self.retries < 1.0 || !self.send(id, act) {
+            return false;
+        }
+        self.retries -= 1.0;
+        true
+    }
+
+    /// The final answer of a request that is not served: refused where that is true, else failed.
+    fn finish(&mut self, id: RequestId, act: &mut Vec<Action>) {
+        let Some(o) = self.requests.get_mut(&id) else { return };
+        o.done = true;
+        let harmless = match self.s.classes[usize::from(o.req.class)].repeat {
+            Repeat::Safe | Repeat::Keyed { group: Group::All, .. } => true,
+            _ => o.may_have_run.is_none(),
+        };
+        if harmless {
+            self.refuse(id, RUNG_UP, act);
+        } else {
+            act.push(Action::Fail(id));
+        }
+        self.on_gone(id, act);
+    }
+
+    /// A request has ended: calls off what is out, forgets it once all is settled.
+    fn on_gone(&mut self, id: RequestId, act: &mut Vec<Action>) {
+        let Some(o) = self.requests.get_mut(&id) else { return };
+        o.done = true;
+        for (n, a) in o.attempts.iter_mut().enumerate() {
+            if a.out && !a.cancelled && self.s.limits.cancel && !o.streaming {
+                a.cancelled = true;
+                act.push(Action::Cancel { id, attempt: n as u16 });
+            }
+        }
+        if o.out() == 0 {
+            let req = o.req;
+            let unsent = o.attempts.is_empty();
+            self.requests.remove(&id);
+            if unsent {
+                self.charge(&req, -1.0);
+            }
+        }
+    }
+
+    fn on_first_byte(&mut self, id: RequestId, attempt: u16, act: &mut Vec<Action>) {
+        let Some(o) = self.requests.get_mut(&id) else { return };
+        for (n, a) in o.attempts.iter_mut().enumerate() {
+            if a.out && n != usize::from(attempt) && !a.cancelled && self.s.limits.cancel {
+                a.cancelled = true;
+                act.push(Action::Cancel { id, attempt: n as u16 });
+            }
+        }
+        o.streaming = true;
+    }
+
+    // ---- 5. Time passes: checks of requests, gossip, the list ----
+
+    fn on_wake(&mut self, act: &mut Vec<Action>) {
+        while let Some(Reverse((at, id))) = self.checks.peek().copied() {
+            if at > self.now {
+                break;
+            }
+            self.checks.pop();
+            self.check(id, act);
+        }
+        let margin = 2 * WAKE_TICKS * self.s.tick;
+        for _ in 0..self.waiting.len() {
+            let Some(id) = self.waiting.pop_front() else { break };
+            let Some(o) = self.requests.get(&id).filter(|o| !o.done && o.out() == 0) else { continue };
+            let aim = self.s.classes[usize::from(o.req.class)].aim as f64;
+            if self.now > o.arrived + (aim * HOLD) as Micros || self.now + margin > o.req.deadline {
+                self.finish(id, act);
+            } else {
+                self.waiting.push_back(id);
+            }
+        }
+        self.step_alert(act);
+        self.dispatch(act);
+        if self.s.limits.peers && self.s.gateways > 1 && self.now >= self.gossip_at {
+            self.gossip_at = self.now + self.gossip_period();
+            self.gossip(act);
+        }
+        if self.s.discovery == Discovery::Ask && self.now >= self.watch_at {
+            self.watch_at = self.now + (self.s.rules.must_ask / 2).max(1);
+            act.push(Action::Watch(true));
+        }
+    }
+
+    fn check(&mut self, id: RequestId, act: &mut Vec<Action>) {
+        let Some(o) = self.requests.get_mut(&id).filter(|o| !o.done && !o.streaming) else { return };
+        let class = &self.s.classes[usize::from(o.req.class)];
+        let Some(a) = o.attempts.iter_mut().rev().find(|a| a.out && !a.cancelled) else { return };
+        let hedge_at = a.sent + (class.aim as f64 * HEDGE) as Micros;
+        let mut silent = false;
+        if let Some(b) = self.backends.get_mut(&a.backend) {
+            if b.heard < a.sent {
+                silent = true;
+                if self.now >= b.rest_until {
+                    b.rest_until = self.now + (REST << b.strikes.min(3));
+                    b.strikes += 1;
+                }
+            }
+        }
+        if !silent && self.now < hedge_at {
+            self.checks.push(Reverse((hedge_at, id)));
+            return;
+        }
+        if (!silent && self.rung > 0) || matches!(class.repeat, Repeat::Once) {
+            return;
+        }
+        if self.s.limits.second_copies {
+            self.again(id, act);
+        } else if silent && self.s.limits.cancel && self.retries >= 1.0 {
+            let n = o.attempts.len() - 1;
+            o.attempts[n].cancelled = true;
+            act.push(Action::Cancel { id, attempt: n as u16 });
+        }
+    }
+
+    // ---- 6. Peers ----
+
+    fn gossip_period(&self) -> Micros {
+        // Half of what a receiver takes in, over all senders; no faster than 20 a second: bytes cost.
+        let most = self.s.limits.peer_in_per_s.max(1.0);
+        ((2.5 * (self.shares as f64 - 1.0) / most * SECOND) as Micros).max(50_000)
+    }
+
+    /// Silent, and its zone's backends do not answer either: cut off, not stopped.
+    fn is_cut(&self, peer: &Peer) -> bool {
+        let (ok, failed) = self.zones.get(&peer.zone).copied().unwrap_or((0, 0));
+        self.now - peer.heard > SILENT_PERIODS * self.gossip_period()
+            && peer.zone != self.s.zone
+            && failed > ok
+    }
+
+    fn head(&self, kind: u8, seq: u32) -> Vec<u8> {
+        let mut bytes = vec![kind, self.s.zone];
+        bytes.extend_from_slice(&((self.born / 1000) as u32).to_le_bytes());
+        bytes.extend_from_slice(&seq.to_le_bytes());
+        bytes
+    }
+
+    fn gossip(&mut self, act: &mut Vec<Action>) {
+        let dirty: Vec<CustomerId> =
+            self.customers.iter().filter(|(_, c)| c.dirty > 0).map(|(id, _)| *id).collect();
+        self.seq += 1;
+        let mut bytes = self.head(GOSSIP, self.seq);
+        for id in dirty.iter().take((MESSAGE - HEAD) / ENTRY) {
+            self.fill(*id);
+            let Some(c) = self.customers.get_mut(id) else { continue };
+            let plan = &self.s.plans[c.plan];
+            c.dirty -= 1;
+            bytes.extend_from_slice(&id.0.to_le_bytes()[..5]);
+            bytes.extend_from_slice(&(((c.used * 4.0).round() as i64) as u16).to_le_bytes());
+            bytes.push(c.open.min(255) as u8);
+            bytes.push((c.level / plan.burst.max(1e-9) * 255.0).clamp(0.0, 255.0) as u8);
+        }
+        act.push(Action::Tell { to: None, bytes });
+        if self.seq % 5 == 0 {
+            self.give(act);
+        }
+        let now = self.now;
+        self.customers.retain(|_, c| now - c.seen <= 2 * AGING || c.open > 0 || c.dirty > 0);
+    }
+
+    /// Ceiling units for a busier peer. They are deducted here first: a lost message loses them.
+    fn give(&mut self, act: &mut Vec<Action>) {
+        let mut gifts: BTreeMap<u16, Vec<u8>> = BTreeMap::new();
+        let ids: Vec<CustomerId> = self.customers.keys().copied().collect();
+        for id in ids {
+            let c = &self.customers[&id];
+            let plan = &self.s.plans[c.plan];
+            if plan.ceiling_rate <= 0.0 || c.heard.is_empty() {
+                continue;
+            }
+            self.fill(id);
+            let plan = &self.s.plans[self.customers[&id].plan];
+            let Some(c) = self.customers.get_mut(&id) else { continue };
+            let Some((n, h)) = c.heard.iter().max_by(|a, b| a.1.rate.total_cmp(&b.1.rate)) else { continue };
+            let part = plan.ceiling_rate / c.width.max(1.0);
+            let keep = (c.rate * 1.0).max(plan.ceiling_burst / c.width.max(1.0) * 0.3);
+            let give = ((c.ceiling - keep).min(h.rate) * 4.0).floor() / 4.0;
+            let live = self.peers.get(n).is_some_and(|p| self.now - p.heard < 500_000);
+            if h.rate < part * 0.6 || h.rate < c.rate || give < 1.0 || !live {
+                continue;
+            }
+            let list = gifts.entry(*n).or_default();
+            if list.len() + 7 > MESSAGE - HEAD - 4 {
+                continue;
+            }
+            c.ceiling -= give;
+            list.extend_from_slice(&id.0.to_le_bytes()[..5]);
+            list.extend_from_slice(&((give * 4.0) as u16).to_le_bytes());
+        }
+        for (n, list) in gifts {
+            self.gift_seq += 1;
+            let mut bytes = self.head(GIFT, self.gift_seq);
+            bytes.extend_from_slice(&self.peers[&n].born.to_le_bytes());
+            bytes.extend_from_slice(&list);
+            act.push(Action::Tell { to: Some(GatewayNo(n)), bytes });
+        }
+    }
+
+    fn on_peer(&mut self, from: GatewayNo, bytes: &[u8], act: &mut Vec<Action>) {
+        if bytes.len() < HEAD || bytes.len() > MESSAGE || from == self.s.me || from.0 >= self.s.gateways {
+            return;
+        }
+        let word = |at: usize| u32::from_le_bytes([bytes[at], bytes[at + 1], bytes[at + 2], bytes[at + 3]]);
+        let customer = |e: &[u8]| CustomerId(u64::from_le_bytes([e[0], e[1], e[2], e[3], e[4], 0, 0, 0]));
+        let (born, seq, mine) = (word(2), word(6), (self.born / 1000) as u32);
+        let now = self.now;
+        let peer = self.peers.entry(from.0).or_default();
+        if peer.born != born {
+            if born < peer.born {
+                return; // from before its restart
+            }
+            *peer = Peer { born, zone: bytes[1], ..Peer::default() };
+            for c in self.customers.values_mut() {
+                c.heard.remove(&from.0);
+                c.dirty = c.dirty.max(1); // a newcomer knows nothing: tell it all once
+            }
+            act.push(Action::Log(format!("peer {}: heard for the first time since its start", from.0)));
+        }
+        if bytes[0] == GIFT && bytes.len() >= HEAD + 4 {
+            // Once only, and only to the incarnation it was meant for: a repeat mints nothing.
+            if seq <= peer.gift_seq || word(HEAD) != mine {
+                return;
+            }
+            peer.gift_seq = seq;
+            for e in bytes[HEAD + 4..].chunks_exact(7) {
+                let id = customer(e);
+                self.fill(id);
+                if let Some(c) = self.customers.get_mut(&id) {
+                    let most = self.s.plans[c.plan].ceiling_burst / c.width.max(1.0);
+                    c.ceiling = (c.ceiling + f64::from(u16::from_le_bytes([e[5], e[6]])) / 4.0).min(most);
+                }
+            }
+        }
+        let Some(peer) = self.peers.get_mut(&from.0) else { return };
+        if bytes[0] != GOSSIP || (bytes.len() - HEAD) % ENTRY != 0 || seq <= peer.seq {
+            return;
+        }
+        peer.seq = seq;
+        peer.heard = now;
+        let younger = born >= mine;
+        for e in bytes[HEAD..].chunks_exact(ENTRY) {
+            let (id, total) = (customer(e), u16::from_le_bytes([e[5], e[6]]));
+            self.fill(id);
+            // A customer that never came here has no plan yet: it is noted when it comes.
+            let Some(c) = self.customers.get_mut(&id) else { continue };
+            let plan = &self.s.plans[c.plan];
+            c.seen = c.seen.max(now);
+            let told = f64::from(e[8]) / 255.0 * plan.burst;
+            let known = c.heard.contains_key(&from.0);
+            let h = c.heard.entry(from.0).or_default();
+            let delta = f64::from(total.wrapping_sub(h.total) as i16) / 4.0;
+            if known || younger {
+                c.level = (c.level - delta).clamp(0.0, plan.burst);
+                h.rate = (h.rate * decay(h.at, now, RATE_TAU) + delta / RATE_TAU).max(0.0);
+            } else {
+                c.level = c.level.min((told - c.used).max(0.0));
+            }
+            h.total = total;
+            h.at = now;
+            h.open = e[7];
+        }
+    }
+
+    // ---- 7. The list of backends ----
+
+    fn on_roster(&mut self, kind: RosterKind, list: Vec<Listed>, act: &mut Vec<Action>) {
+        if kind == RosterKind::Failed {
+            self.watch_at = self.watch_at.min(self.now + (self.s.rules.must_ask / 8).max(1));
+            return;
+        }
+        if kind != RosterKind::Delta {
+            for b in self.backends.values_mut() {
+                b.ready = false; // absent from a whole list: gone
+            }
+        }
+        for l in list {
+            let b = self.backends.entry(l.backend).or_insert_with(|| Backend {
+                listed: l,
+                ready: false,
+                out: 0,
+                slow: 1.0,
+                errors: 0.0,
+                heard: 0,
+                rest_until: 0,
+                strikes: 0,
+                queue: 0.0,
+                cold_sends: VecDeque::new(),
+            });
+            if l.started != b.listed.started {
+                (b.slow, b.errors, b.strikes, b.queue) = (1.0, 0.0, 0, 0.0); // a new process, a new record
+            }
+            b.listed = l;
+            b.listed.size = if l.size.is_finite() { l.size.max(0.0) } else { 1.0 };
+            b.ready = l.availability == Availability::Ready;
+        }
+        self.backends.retain(|_, b| b.ready || b.out > 0);
+        self.dispatch(act);
+    }
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,6 @@
+//! chalkgap decides for an admission gateway of a service sold by plan.
+mod control;
+mod interface;
+
+pub use control::Gateway;
+pub use interface::*;
