Cut whole customers for an epoch; refusals feed the alert

Should also hold against any retrying crowd. May hurt a cut customer for a whole epoch (worst plan).

--- a/src/control.rs
+++ b/src/control.rs
@@ -14,8 +14,10 @@
 /// The last rung: preferred only.
 const LAST_RUNG: usize = 4;
 /// The least stay on a rung, upward and downward: several times an aim, so that a rung's effect is seen.
-const RUNG_UP: Micros = 1_000_000;
+const RUNG_UP: Micros = 500_000;
 const RUNG_DOWN: Micros = 2_000_000;
+/// How long the same customers are cut: longer than clients go on retrying one request.
+const EPOCH: Micros = 10_000_000;
 /// Pressure (mean of answer time over aim) that raises an alert and that ends it: between them nothing moves.
 const ALERT_ON: f64 = 0.6;
 const ALERT_OFF: f64 = 0.4;
@@ -160,6 +162,14 @@
     (-(to.saturating_sub(from) as f64) / SECOND / tau).exp()
 }
 
+/// A number from 0 to 1 that looks random (splitmix64).
+fn mix(seed: u64) -> f64 {
+    let mut z = seed.wrapping_mul(0x9E37_79B9_7F4A_7C15);
+    z = (z ^ (z >> 30)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
+    z = (z ^ (z >> 27)).wrapping_mul(0x94D0_49BB_1331_11EB);
+    ((z ^ (z >> 31)) >> 11) as f64 / (1u64 << 53) as f64
+}
+
 impl Gateway {
     /// A gateway that starts now and knows nothing yet.
     pub fn new(settings: Settings, seed: u64, now: Micros) -> Self {
@@ -221,11 +231,8 @@
     }
 
     fn random(&mut self) -> f64 {
-        self.rng = self.rng.wrapping_add(0x9E37_79B9_7F4A_7C15);
-        let mut z = self.rng;
-        z = (z ^ (z >> 30)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
-        z = (z ^ (z >> 27)).wrapping_mul(0x94D0_49BB_1331_11EB);
-        ((z ^ (z >> 31)) >> 11) as f64 / (1u64 << 53) as f64
+        self.rng = self.rng.wrapping_add(1);
+        mix(self.rng)
     }
 
     // ---- 1. A request arrives: its colour, its store, the ladder ----
@@ -244,13 +251,14 @@
             self.refuse(req.id, (wait * SECOND) as Micros, act); // red
             return;
         }
-        if !self.ladder_passes(usize::from(req.plan), unseen) {
-            self.refuse(req.id, RUNG_UP, act);
+        if !self.ladder_passes(req.customer, usize::from(req.plan), unseen) {
+            self.refuse(req.id, Micros::MAX, act);
             return;
         }
         let full = self.out as f64 >= self.limit || !self.waiting.is_empty();
         if full && self.waiting.len() as f64 >= self.limit * HOLD {
-            self.refuse(req.id, RUNG_UP, act); // no place, none soon
+            self.feel(1.0); // no place, none soon: a refusal feeds the alert like a late answer
+            self.refuse(req.id, Micros::MAX, act);
             return;
         }
         self.charge(&req, 1.0);
@@ -377,7 +385,11 @@
         self.s.plans.iter().any(|p| p.price < top) && self.s.plans[plan].price >= top
     }
 
-    fn ladder_passes(&mut self, plan: usize, green: bool) -> bool {
+    /// Whether the rung lets this colour's customer pass. Which customers a rung cuts is fixed for an epoch and
+    /// alike at all gateways: a coin for each request would let a refused client's retries in, too late to
+    /// earn anything, until they fill the fleet and cause the next refusals. It hurts a cut customer for one
+    /// epoch wholly, instead of all a little.
+    fn ladder_passes(&self, customer: CustomerId, plan: usize, green: bool) -> bool {
         let differ = self.s.plans.windows(2).any(|p| p[0].price != p[1].price);
         if self.rung == 0 || self.preferred(plan) || (green && self.rung < 2) {
             return true;
@@ -386,7 +398,7 @@
             LAST_RUNG if differ => 0.0,
             rung => AMBER[rung.min(3)],
         };
-        self.random() < share
+        mix(customer.0 ^ (self.now / EPOCH) << 33) < share
     }
 
     // ---- 2. The alert: pressure, rungs, and the bound on what is out ----
