--- a/src/control.rs
+++ b/src/control.rs
@@ -21,6 +21,8 @@
 /// Pressure (mean of answer time over aim) that raises an alert and that ends it: between them nothing moves.
 const ALERT_ON: f64 = 0.6;
 const ALERT_OFF: f64 = 0.4;
+/// Share of requests turned away for want of a place that raises an alert while pressure is not low.
+const AWAY: f64 = 0.05;
 /// Memory of the pressure in seconds: about the time of some dozen answers.
 const PRESSURE_TAU: f64 = 1.0;
 /// Memory of rates of use in seconds: longer than a client's pause, shorter than shifts of weight.
@@ -143,6 +145,8 @@
     usual: Vec<f64>,
     pressure: f64,
     pressure_at: Micros,
+    /// Recent share of requests inside their quota that found no place.
+    turned_away: f64,
     rung: usize,
     rung_since: Micros,
     limit: f64,
@@ -189,6 +193,7 @@
             usual,
             pressure: 0.0,
             pressure_at: now,
+            turned_away: 0.0,
             rung: 0,
             rung_since: now,
             limit: 0.0,
@@ -257,10 +262,11 @@
         }
         let full = self.out as f64 >= self.limit || !self.waiting.is_empty();
         if full && self.waiting.len() as f64 >= self.limit * HOLD {
-            self.feel(1.0); // no place, none soon: a refusal feeds the alert like a late answer
+            self.turned_away += 0.05 * (1.0 - self.turned_away); // no place, none soon
             self.refuse(req.id, Micros::MAX, act);
             return;
         }
+        self.turned_away -= 0.05 * self.turned_away;
         self.charge(&req, 1.0);
         let open = Open {
             req,
@@ -408,14 +414,16 @@
         self.pressure = self.pressure * keep + ratio.min(2.0) * (1.0 - keep);
         self.pressure_at = self.now;
         if self.pressure < ALERT_OFF && self.out as f64 > self.limit * 0.7 {
-            self.limit += 1.0 / self.limit.max(1.0);
+            self.limit += 2.0 / self.limit.max(1.0);
         }
     }
 
     fn step_alert(&mut self, act: &mut Vec<Action>) {
         let since = self.now - self.rung_since;
         let rung = self.rung;
-        if self.pressure > ALERT_ON && since > RUNG_UP && rung < LAST_RUNG {
+        // Refusals alone hold no alert up: cutting causes refusals, and the fleet may be idle behind them.
+        let refusing = self.pressure > ALERT_OFF && self.turned_away > AWAY;
+        if (self.pressure > ALERT_ON || refusing) && since > RUNG_UP && rung < LAST_RUNG {
             self.rung += 1;
         } else if self.pressure < ALERT_OFF && since > RUNG_DOWN && rung > 0 {
             self.rung -= 1;
@@ -431,9 +439,9 @@
         if self.limit == 0.0 && size > 0.0 {
             self.limit = size * 12.0 / self.shares as f64;
         }
-        let longest = self.usual.iter().copied().fold(0.0, f64::max) as Micros;
-        if self.pressure > (ALERT_ON + ALERT_OFF) / 2.0 && self.now - self.limit_at > longest {
-            self.limit = (self.limit.min(self.out as f64 + 1.0) * 0.9).max(size * 2.0 / self.shares as f64);
+        // One cut in a memory of the pressure: answers sent before a cut must not cause the next one.
+        if self.pressure > ALERT_ON && self.now - self.limit_at > (PRESSURE_TAU * SECOND) as Micros {
+            self.limit = (self.limit.min(self.out as f64 + 1.0) * 0.85).max(size * 4.0 / self.shares as f64);
             self.limit_at = self.now;
         }
     }
