--- a/src/control.rs
+++ b/src/control.rs
@@ -18,9 +18,15 @@
 const RUNG_DOWN: Micros = 2_000_000;
 /// How long the same customers are cut: longer than clients go on retrying one request.
 const EPOCH: Micros = 10_000_000;
-/// Pressure (mean of answer time over aim) that raises an alert and that ends it: between them nothing moves.
-const ALERT_ON: f64 = 0.6;
-const ALERT_OFF: f64 = 0.4;
+/// An answer weighs on the pressure by its time over the lesser of these: a multiple of the class's time on calm
+/// servers, and a share of its aim. Servers driven harder than that lose throughput long before aims are missed.
+const CALM_MULTIPLE: f64 = 2.2;
+/// How much of itself the calm time may grow by in a second.
+const CALM_CREEP: f64 = 0.01;
+const AIM_SHARE: f64 = 0.6;
+/// Pressure that raises an alert and that ends it: between them nothing moves.
+const ALERT_ON: f64 = 1.0;
+const ALERT_OFF: f64 = 0.75;
 /// Share of requests turned away for want of a place that raises an alert while pressure is not low.
 const AWAY: f64 = 0.05;
 /// Memory of the pressure in seconds: about the time of some dozen answers.
@@ -127,6 +133,15 @@
     cold_sends: VecDeque<Micros>,
 }
 
+/// How long answers of a class take: lately, and on calm servers.
+#[derive(Default)]
+struct Usual {
+    recent: f64,
+    calm: f64,
+    count: f64,
+    at: Micros,
+}
+
 /// One gateway's decisions. Feed it events, do what it asks.
 pub struct Gateway {
     s: Settings,
@@ -142,7 +157,7 @@
     backends: BTreeMap<BackendId, Backend>,
     /// Per zone: last proof that it can be reached, last sign that it cannot.
     zones: BTreeMap<u8, (Micros, Micros)>,
-    usual: Vec<f64>,
+    usual: Vec<Usual>,
     pressure: f64,
     pressure_at: Micros,
     /// Recent share of requests inside their quota that found no place.
@@ -177,7 +192,9 @@
 impl Gateway {
     /// A gateway that starts now and knows nothing yet.
     pub fn new(settings: Settings, seed: u64, now: Micros) -> Self {
-        let usual = settings.classes.iter().map(|c| c.aim as f64 * 0.15).collect();
+        let usual =
+            settings.classes.iter().map(|c| Usual { recent: c.aim as f64 * 0.15, ..Usual::default() });
+        let usual = usual.map(|u| Usual { calm: u.recent, at: now, ..u }).collect();
         Gateway {
             rng: seed,
             now,
@@ -367,7 +384,7 @@
             }
         }
         if plan.open_cap > 0 && open >= plan.open_cap {
-            quota = Some(quota.unwrap_or(0.0).max(self.usual[usize::from(req.class)] / SECOND));
+            quota = Some(quota.unwrap_or(0.0).max(self.usual[usize::from(req.class)].calm / SECOND));
         }
         let short = plan.ceiling_rate > 0.0 && c.ceiling + 1e-9 < req.units;
         let ceiling = short.then(|| (req.units - c.ceiling) / (plan.ceiling_rate / c.width.max(1.0)));
@@ -411,7 +428,7 @@
 
     fn feel(&mut self, ratio: f64) {
         let keep = decay(self.pressure_at, self.now, PRESSURE_TAU).min(0.98);
-        self.pressure = self.pressure * keep + ratio.min(2.0) * (1.0 - keep);
+        self.pressure = self.pressure * keep + ratio.min(4.0) * (1.0 - keep);
         self.pressure_at = self.now;
         if self.pressure < ALERT_OFF && self.out as f64 > self.limit * 0.7 {
             self.limit += 2.0 / self.limit.max(1.0);
@@ -441,7 +458,7 @@
         }
         // One cut in a memory of the pressure: answers sent before a cut must not cause the next one.
         if self.pressure > ALERT_ON && self.now - self.limit_at > (PRESSURE_TAU * SECOND) as Micros {
-            self.limit = (self.limit.min(self.out as f64 + 1.0) * 0.85).max(size * 4.0 / self.shares as f64);
+            self.limit = (self.limit.min(self.out as f64 + 1.0) * 0.85).max(size * 2.0 / self.shares as f64);
             self.limit_at = self.now;
         }
     }
@@ -603,14 +620,22 @@
         match outcome {
             Outcome::Ok => {
                 let took = took as f64;
-                b.slow += 0.1 * ((took / self.usual[class].max(1.0)).min(4.0) - b.slow);
+                b.slow += 0.1 * ((took / self.usual[class].recent.max(1.0)).min(4.0) - b.slow);
                 b.slow = b.slow.max(0.3);
-                self.usual[class] += 0.02 * (took - self.usual[class]);
-                self.feel(took / aim);
+                let u = &mut self.usual[class];
+                u.count += 1.0;
+                u.recent += (took - u.recent) / u.count.min(20.0);
+                // The calm time follows downward at once and upward by a percent a second: an overload of
+                // half a minute must not pass for calm, a lasting change of the work is learnt in minutes.
+                let creep = 1.0 + (now - u.at) as f64 / SECOND * CALM_CREEP;
+                u.calm = if u.count <= 20.0 { u.recent.min(aim * 0.3) } else { u.recent.min(u.calm * creep) };
+                u.at = now;
+                let norm = (u.calm * CALM_MULTIPLE).min(aim * AIM_SHARE);
+                self.feel(took / norm.max(1.0));
             }
             Outcome::Full => {
                 b.queue += shares;
-                self.feel(1.0);
+                self.feel(2.0);
             }
             _ => {}
         }
