--- a/src/control.rs
+++ b/src/control.rs
@@ -20,7 +20,7 @@
 const EPOCH: Micros = 10_000_000;
 /// An answer weighs on the pressure by its time over the lesser of these: a multiple of the class's time on calm
 /// servers, and a share of its aim. Servers driven harder than that lose throughput long before aims are missed.
-const CALM_MULTIPLE: f64 = 2.2;
+const CALM_MULTIPLE: f64 = 3.5;
 /// How much of itself the calm time may grow by in a second.
 const CALM_CREEP: f64 = 0.01;
 const AIM_SHARE: f64 = 0.6;
