--- a/src/control.rs
+++ b/src/control.rs
@@ -9,7 +9,7 @@
 /// Ticks between two wake-ups: deadlines, checks and gossip are looked at this often. More saves CPU.
 const WAKE_TICKS: u64 = 5;
 const SECOND: f64 = 1e6; // in microseconds
-/// The ageing time: a customer unseen for this long is green, and is forgotten once its store is full (design).
+/// A customer unseen for this long is green (design), and is forgotten once its stores are full.
 const AGING: Micros = 10_000_000;
 /// Shares of amber that pass on rungs 1 to 3 (paper, table I); green is cut alike from rung 2.
 const AMBER: [f64; 4] = [1.0, 0.9, 0.7, 0.5];
@@ -19,8 +19,8 @@
 const RUNG_DOWN: Micros = 2_000_000;
 /// How long the same customers are cut: longer than clients go on retrying one request.
 const EPOCH: Micros = 10_000_000;
-/// An answer weighs on the pressure by its time over the lesser of these: a multiple of the class's time on calm
-/// servers, and a share of its aim. Servers driven harder than that lose throughput long before aims are missed.
+/// An answer weighs on the pressure by its time over the lesser of these: a multiple of its class's time on
+/// calm servers, and a share of its aim. Servers driven harder lose throughput before aims are missed.
 const CALM_MULTIPLE: f64 = 3.5;
 /// How much of itself the calm time may grow by in a second.
 const CALM_CREEP: f64 = 0.01;
@@ -382,9 +382,9 @@
         c.dirty = 2;
     }
 
-    /// Whether the rung lets this customer pass. Whom it cuts is fixed for an epoch and alike at all gateways: a
-    /// coin for each request would let refused clients' retries in, too late to earn anything, until they fill
-    /// the fleet and cause the next refusals. It hurts those cut for a whole epoch.
+    /// Whether the rung lets this customer pass. Whom it cuts is fixed for an epoch, alike at all gateways:
+    /// a coin for each request would let refused clients' retries in, too late to earn anything, until they
+    /// fill the fleet and cause the next refusals. It hurts those cut for a whole epoch.
     fn ladder_passes(&self, customer: CustomerId, plan: usize, green: bool) -> bool {
         let top = self.s.plans.iter().map(|p| p.price).fold(f64::MIN, f64::max);
         let differ = self.s.plans.iter().any(|p| p.price < top);
