--- a/src/control.rs
+++ b/src/control.rs
@@ -15,7 +15,7 @@
 const AMBER: [f64; 4] = [1.0, 0.9, 0.7, 0.5];
 const LAST_RUNG: usize = 4; // preferred only
 /// The least stay on a rung, upward and downward: several times an aim, so that a rung's effect is seen.
-const RUNG_UP: Micros = 500_000;
+const RUNG_UP: Micros = 1_500_000;
 const RUNG_DOWN: Micros = 2_000_000;
 /// How long the same customers are cut: longer than clients go on retrying one request.
 const EPOCH: Micros = 10_000_000;
