--- a/src/control.rs
+++ b/src/control.rs
@@ -28,8 +28,8 @@
 /// Pressure that raises an alert and that ends it: between them nothing moves.
 const ALERT_ON: f64 = 1.0;
 const ALERT_OFF: f64 = 0.75;
-/// Report periods that a peer's use is under way, unheard: its own wait, the way, a lost message.
-const UNHEARD: u64 = 6;
+/// How long a peer's use is taken to be under way, unheard, besides a period: the way, a lost message, chance.
+const UNHEARD: Micros = 350_000;
 const AWAY: f64 = 0.05; // share turned away for want of a place that alerts while pressure is not low
 const PRESSURE_TAU: f64 = 1.0; // memory of the pressure in seconds: some dozen answers
 /// Memory of rates of use in seconds: longer than a client's pause, shorter than shifts of weight.
@@ -352,7 +352,7 @@
                 continue; // silent: counts as nought
             }
             others += h.rate;
-            unheard += h.rate * (now - peer.heard + UNHEARD * period) as f64 / SECOND;
+            unheard += h.rate * (now - peer.heard + period + UNHEARD) as f64 / SECOND;
             open += u32::from(h.open);
         }
         let mut quota = None;
@@ -364,7 +364,8 @@
                 quota = Some((req.units - room) / plan.rate);
             }
         }
-        if plan.open_cap > 0 && open >= plan.open_cap {
+        // Heavy users wait at every gateway for the same free place: what peers likely began unheard counts.
+        if plan.open_cap > 0 && open + (unheard / req.units.max(0.1)) as u32 >= plan.open_cap {
             quota = Some(quota.unwrap_or(0.0).max(self.usual[usize::from(req.class)].calm / SECOND));
         }
         let short = plan.ceiling_rate > 0.0 && c.ceiling + 1e-9 < req.units;
