--- a/src/control.rs
+++ b/src/control.rs
@@ -414,11 +414,10 @@
         let since = self.now - self.rung_since;
         let rung = self.rung;
         // Refusals alone hold no alert up: cutting causes refusals, and the fleet may be idle behind them.
-        let refusing = self.turned_away > AWAY;
+        let refusing = self.pressure > ALERT_OFF && self.turned_away > AWAY;
         if (self.pressure > ALERT_ON || refusing) && since > RUNG_UP && rung < LAST_RUNG {
             self.rung += 1;
-        } else if self.pressure < ALERT_OFF && self.turned_away < AWAY / 2.0 && since > RUNG_DOWN && rung > 0
-        {
+        } else if self.pressure < ALERT_OFF && since > RUNG_DOWN && rung > 0 {
             self.rung -= 1;
         }
         if rung != self.rung {
