--- a/src/control.rs
+++ b/src/control.rs
@@ -433,7 +433,7 @@
         }
         // One cut in a memory of the pressure: answers sent before a cut must not cause the next one.
         if self.pressure > ALERT_ON && self.now - self.limit_at > (PRESSURE_TAU * SECOND) as Micros {
-            self.limit = (self.limit.min(self.out as f64 + 1.0) * 0.85).max(size * 2.0 / self.shares as f64);
+            self.limit = (self.limit * 0.85).max(size * 2.0 / self.shares as f64);
             self.limit_at = self.now;
         }
     }
