--- a/src/control.rs
+++ b/src/control.rs
@@ -111,7 +111,6 @@
 
 #[derive(Default)]
 struct Peer {
-    pressure: f64,
     born: u32,
     seq: u32,
     gift_seq: u32,
@@ -411,30 +410,21 @@
         }
     }
 
-    /// The mean pressure of this gateway and the peers lately heard: alone, each judges from a sliver.
-    fn shared_pressure(&self) -> f64 {
-        let oldest = self.now.saturating_sub(SILENT_PERIODS * self.gossip_period());
-        let live = self.peers.values().filter(|p| p.heard > oldest);
-        let (sum, n) = live.fold((self.pressure, 1.0), |(s, n), p| (s + p.pressure, n + 1.0));
-        sum / n
-    }
-
     fn step_alert(&mut self, act: &mut Vec<Action>) {
-        let pressure = self.shared_pressure();
         let since = self.now - self.rung_since;
         let rung = self.rung;
         // Refusals alone hold no alert up: cutting causes refusals, and the fleet may be idle behind them.
-        let refusing = pressure > ALERT_OFF && self.turned_away > AWAY;
-        if (pressure > ALERT_ON || refusing) && since > RUNG_UP && rung < LAST_RUNG {
+        let refusing = self.pressure > ALERT_OFF && self.turned_away > AWAY;
+        if (self.pressure > ALERT_ON || refusing) && since > RUNG_UP && rung < LAST_RUNG {
             self.rung += 1;
-        } else if pressure < ALERT_OFF && since > RUNG_DOWN && rung > 0 {
+        } else if self.pressure < ALERT_OFF && since > RUNG_DOWN && rung > 0 {
             self.rung -= 1;
         }
         if rung != self.rung {
             self.rung_since = self.now;
             act.push(Action::Log(format!(
                 "ladder: rung {rung} to {}, pressure {:.2}, limit {:.0}, out {}",
-                self.rung, pressure, self.limit, self.out
+                self.rung, self.pressure, self.limit, self.out
             )));
         }
         let size = self.ready() as f64;
@@ -442,7 +432,7 @@
             self.limit = size * 12.0 / self.shares as f64;
         }
         // One cut in a memory of the pressure: answers sent before a cut must not cause the next one.
-        if pressure > ALERT_ON && self.now - self.limit_at > (PRESSURE_TAU * SECOND) as Micros {
+        if self.pressure > ALERT_ON && self.now - self.limit_at > (PRESSURE_TAU * SECOND) as Micros {
             self.limit = (self.limit * 0.85).max(size * 2.0 / self.shares as f64);
             self.limit_at = self.now;
         }
@@ -776,8 +766,7 @@
     }
 
     fn tell(&self, to: Option<u16>, seq: u32, body: Body) -> Action {
-        let pressure = (self.pressure * 64.0) as u8;
-        let bytes = Message { zone: self.s.zone, born: incarnation(self.born), seq, pressure, body }.pack();
+        let bytes = Message { zone: self.s.zone, born: incarnation(self.born), seq, body }.pack();
         Action::Tell { to: to.map(GatewayNo), bytes }
     }
 
@@ -836,7 +825,7 @@
     }
 
     fn on_peer(&mut self, from: GatewayNo, bytes: &[u8], act: &mut Vec<Action>) {
-        let Some(Message { zone, born, seq, pressure, body }) = Message::unpack(bytes) else { return };
+        let Some(Message { zone, born, seq, body }) = Message::unpack(bytes) else { return };
         if from == self.s.me || from.0 >= self.s.gateways {
             return;
         }
@@ -869,7 +858,7 @@
             Body::Uses(uses) if seq > peer.seq => uses,
             _ => return,
         };
-        (peer.seq, peer.heard, peer.pressure) = (seq, now, f64::from(pressure) / 64.0);
+        (peer.seq, peer.heard) = (seq, now);
         let younger = born >= mine;
         for Use { customer: id, total, open, level } in uses {
             self.fill(id);
--- a/src/gossip.rs
+++ b/src/gossip.rs
@@ -4,7 +4,7 @@
 
 const USE: u8 = 1;
 const GIFT: u8 = 2;
-const HEAD: usize = 11;
+const HEAD: usize = 10;
 const USE_BYTES: usize = 9;
 const GIFT_BYTES: usize = 7;
 /// The most bytes that a message may have.
@@ -57,8 +57,6 @@
     pub born: u32,
     /// Counts the sender's messages of this kind.
     pub seq: u32,
-    /// The sender's pressure, in sixty-fourths.
-    pub pressure: u8,
     /// What it carries.
     pub body: Body,
 }
@@ -90,7 +88,6 @@
         let mut bytes = vec![kind, self.zone];
         bytes.extend_from_slice(&self.born.to_le_bytes());
         bytes.extend_from_slice(&self.seq.to_le_bytes());
-        bytes.push(self.pressure);
         match &self.body {
             Body::Uses(uses) => {
                 for u in uses.iter().take(MOST_USES) {
@@ -118,7 +115,7 @@
         if bytes.len() > MOST {
             return None;
         }
-        let (zone, born, seq, pressure) = (*bytes.get(1)?, word(2)?, word(6)?, *bytes.get(10)?);
+        let (zone, born, seq) = (*bytes.get(1)?, word(2)?, word(6)?);
         let body = match bytes[0] {
             USE => {
                 let entries = bytes[HEAD..].chunks_exact(USE_BYTES);
@@ -138,7 +135,7 @@
             }
             _ => return None,
         };
-        Some(Message { zone, born, seq, pressure, body })
+        Some(Message { zone, born, seq, body })
     }
 }
 
@@ -151,7 +148,7 @@
         let uses = vec![Use { customer: CustomerId(7 << 30), total: 65_000, open: 3, level: 200 }; MOST_USES];
         let gifts = vec![Gift { customer: CustomerId(5), units: 2.25 }; MOST_GIFTS];
         for body in [Body::Uses(uses), Body::Gifts(9, gifts)] {
-            let message = Message { zone: 2, born: 77, seq: 3, pressure: 9, body };
+            let message = Message { zone: 2, born: 77, seq: 3, body };
             let bytes = message.pack();
             assert!(bytes.len() <= MOST);
             assert_eq!(Message::unpack(&bytes), Some(message));
