--- a/src/control.rs
+++ b/src/control.rs
@@ -49,7 +49,7 @@
 const SICK_ERRORS: f64 = 0.25;
 /// How long a silent or failing backend rests before one attempt tries it again; doubles up to 2^3.
 const REST: Micros = 500_000;
-/// Report periods without any message after which a peer is silent (design: two; lost messages ask for more).
+/// Report periods without a message after which a peer is silent (design: two; losses ask for more).
 const SILENT_PERIODS: u64 = 4;
 
 struct Attempt {
@@ -241,11 +241,6 @@
         }
     }
 
-    fn random(&mut self) -> f64 {
-        self.rng = self.rng.wrapping_add(1);
-        mix(self.rng)
-    }
-
     // ---- 1. A request arrives: its colour, its store, the ladder ----
 
     fn on_request(&mut self, req: Request, act: &mut Vec<Action>) {
@@ -486,7 +481,8 @@
     }
 
     fn choose(&mut self, id: RequestId) -> Option<BackendId> {
-        let noise = self.random();
+        self.rng = self.rng.wrapping_add(1);
+        let noise = mix(self.rng);
         let o = &self.requests[&id];
         let class = &self.s.classes[usize::from(o.req.class)];
         let ready = self.ready();
