--- a/src/control.rs
+++ b/src/control.rs
@@ -28,7 +28,7 @@
 /// Pressure that raises an alert and that ends it: between them nothing moves.
 const ALERT_ON: f64 = 1.0;
 const ALERT_OFF: f64 = 0.75;
-/// How long a peer's use is taken to be under way, unheard, besides a period: the way, a lost message, chance.
+/// How long, besides a period, a peer's use is under way unheard: the way, a lost message, chance.
 const UNHEARD: Micros = 350_000;
 const AWAY: f64 = 0.05; // share turned away for want of a place that alerts while pressure is not low
 const PRESSURE_TAU: f64 = 1.0; // memory of the pressure in seconds: some dozen answers
