--- a/src/control.rs
+++ b/src/control.rs
@@ -176,6 +176,7 @@
     rung_since: Micros,
     limit: f64,
     limit_at: Micros,
+    out: u32,
     retries: f64,
     sent_rate: f64,
     sent_at: Micros,
@@ -261,7 +262,7 @@
         if !self.ladder_passes(req.customer, plan, unseen) {
             return self.refuse(req.id, Micros::MAX, act);
         }
-        if self.out() >= self.limit && self.waiting.len() as f64 >= self.limit * HOLD {
+        if self.out as f64 >= self.limit && self.waiting.len() as f64 >= self.limit * HOLD {
             self.turned_away += 0.05 * (1.0 - self.turned_away); // no place, none soon
             return self.refuse(req.id, Micros::MAX, act);
         }
@@ -399,7 +400,7 @@
         let keep = decay(self.pressure_at, self.now, PRESSURE_TAU).min(0.98);
         self.pressure = self.pressure * keep + ratio.min(4.0) * (1.0 - keep);
         self.pressure_at = self.now;
-        if self.pressure < ALERT_OFF && self.out() > self.limit * 0.7 {
+        if self.pressure < ALERT_OFF && self.out as f64 > self.limit * 0.7 {
             self.limit += 2.0 / self.limit.max(1.0);
         }
     }
@@ -418,10 +419,7 @@
             self.rung_since = self.now;
             act.push(Action::Log(format!(
                 "ladder: rung {rung} to {}, pressure {:.2}, limit {:.0}, out {}",
-                self.rung,
-                self.pressure,
-                self.limit,
-                self.out()
+                self.rung, self.pressure, self.limit, self.out
             )));
         }
         let size = self.ready() as f64;
@@ -441,7 +439,7 @@
         while let Some(id) = self.waiting.front().copied() {
             let ready = self.requests.get(&id).is_some_and(|o| !o.done && o.out() == 0);
             if ready {
-                if self.out() >= self.limit && self.limit > 0.0 {
+                if self.out as f64 >= self.limit && self.limit > 0.0 {
                     return;
                 }
                 if !self.send(id, act) {
@@ -452,12 +450,6 @@
         }
     }
 
-    /// Attempts out at backends that answer. Those stuck at silent ones hold no place: else a few dead backends
-    /// would fill the bound with attempts that end only at their deadlines.
-    fn out(&self) -> f64 {
-        self.backends.values().filter(|b| b.strikes == 0).map(|b| f64::from(b.out)).sum()
-    }
-
     fn ready(&self) -> usize {
         self.backends.values().filter(|b| b.ready).count()
     }
@@ -540,6 +532,7 @@
             c.open += 1;
         }
         self.checks.push(Reverse((now + (aim as f64 * SILENCE) as Micros, id)));
+        self.out += 1;
         self.sent_rate = self.sent_rate * decay(self.sent_at, now, RATE_TAU) + 1.0 / RATE_TAU;
         self.sent_at = now;
         if let Some(b) = self.backends.get_mut(&bid) {
@@ -619,6 +612,7 @@
         let Some(o) = self.requests.get_mut(&id) else { return };
         let Some(a) = o.attempts.get_mut(usize::from(attempt)).filter(|a| a.out) else { return };
         (a.out, a.void) = (false, outcome.never_ran());
+        self.out = self.out.saturating_sub(1);
         if let Some(b) = self.backends.get_mut(&a.to.backend) {
             b.out = b.out.saturating_sub(1);
         }
