--- a/src/control.rs
+++ b/src/control.rs
@@ -738,15 +738,10 @@
         if (!silent && self.rung > 0) || matches!(class.repeat, Repeat::Once) {
             return;
         }
-        let (safe, cancel) = (class.repeat == Repeat::Safe, self.s.limits.cancel);
-        if self.rung == 0 && self.s.limits.second_copies && self.again(id, act) {
-            return;
-        }
-        if silent && cancel && self.rung == 0 && self.retries >= 1.0 && !self.s.limits.second_copies {
-            let Some(o) = self.requests.get_mut(&id) else { return };
-            call_off(o, None, true, act); // its outcome brings the next attempt
-        } else if silent && cancel && safe {
-            self.finish(id, act); // no second chance: an early refusal frees the place and the server
+        if self.s.limits.second_copies {
+            self.again(id, act);
+        } else if silent && self.s.limits.cancel && self.retries >= 1.0 {
+            call_off(o, None, true, act);
         }
     }
 
