--- a/src/control.rs
+++ b/src/control.rs
@@ -28,6 +28,7 @@
 /// Pressure that raises an alert and that ends it: between them nothing moves.
 const ALERT_ON: f64 = 1.0;
 const ALERT_OFF: f64 = 0.75;
+const GROW: f64 = 0.4; // pressure under which the bound on what is out may grow
 /// How long, besides a period, a peer's use is under way unheard: the way, a lost message, chance.
 const UNHEARD: Micros = 350_000;
 const AWAY: f64 = 0.05; // share turned away for want of a place that alerts while pressure is not low
@@ -400,7 +401,7 @@
         let keep = decay(self.pressure_at, self.now, PRESSURE_TAU).min(0.98);
         self.pressure = self.pressure * keep + ratio.min(4.0) * (1.0 - keep);
         self.pressure_at = self.now;
-        if self.pressure < ALERT_OFF && self.out as f64 > self.limit * 0.7 {
+        if self.pressure < GROW && self.out as f64 > self.limit * 0.7 {
             self.limit += 2.0 / self.limit.max(1.0);
         }
     }
