The bound goes by listed backends; gossip goes round; property and frame tests

Also against any fleet that shrinks and any crowd of customers. May hurt: a list that wrongly drops backends.

--- a/src/control.rs
+++ b/src/control.rs
@@ -1,7 +1,5 @@
 //! Every decision of a gateway. Its types stand in `src/interface.rs`; sections follow a request's way.
-use crate::gossip::{
-    gone_by, incarnation, whole_parts, wrap, Body, Gift, Message, Use, MOST_GIFTS, MOST_USES,
-};
+use crate::gossip::*;
 use crate::interface::*;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap, VecDeque};
@@ -28,6 +26,7 @@
 /// Pressure that raises an alert and that ends it: between them nothing moves.
 const ALERT_ON: f64 = 1.0;
 const ALERT_OFF: f64 = 0.75;
+const PLACES: f64 = 10.0; // attempts out at a backend, by all gateways, to begin with; then found by latency
 const GROW: f64 = 0.4; // pressure under which the bound on what is out may grow
 /// How long, besides a period, a peer's use is under way unheard: the way, a lost message, chance.
 const UNHEARD: Micros = 350_000;
@@ -175,7 +174,8 @@
     turned_away: f64,
     rung: usize,
     rung_since: Micros,
-    limit: f64,
+    /// Attempts that may be out at a backend, by all gateways, if all send alike.
+    places: f64,
     limit_at: Micros,
     out: u32,
     retries: f64,
@@ -184,6 +184,7 @@
     gossip_at: Micros,
     seq: u32,
     gift_seq: u32,
+    told: CustomerId,
     watch_at: Micros,
     shares: u64,
 }
@@ -218,7 +219,17 @@
         let usual = usual.map(|u| Usual { calm: u.recent, at: now, ..u }).collect();
         let shares = u64::from(settings.gateways.max(1));
         let zero = Gateway::default();
-        Gateway { rng: seed, now, born: now, usual, retries: RETRY_STORE, shares, s: settings, ..zero }
+        Gateway {
+            rng: seed,
+            now,
+            born: now,
+            usual,
+            retries: RETRY_STORE,
+            places: PLACES,
+            shares,
+            s: settings,
+            ..zero
+        }
     }
 
     /// Takes one event and appends what the host is to do.
@@ -228,7 +239,12 @@
             Event::Request(req) => self.on_request(req, act),
             Event::Settled { .. } => self.on_settled(event, act),
             Event::Withdrawn(id) => self.on_gone(id, act),
-            Event::FirstByte { id, attempt } => self.on_first_byte(id, attempt, act),
+            Event::FirstByte { id, attempt } => {
+                if let Some(o) = self.requests.get_mut(&id) {
+                    call_off(o, Some(attempt), self.s.limits.cancel, act);
+                    o.streaming = true;
+                }
+            }
             Event::Peer { from, bytes } => self.on_peer(from, &bytes, act),
             Event::Roster(kind, list) => self.on_roster(kind, list, act),
             Event::Timer(_) if self.now < self.wake_at => return,
@@ -252,7 +268,7 @@
             return; // told twice: the first telling gets the answer
         }
         // With less than two wake-ups left nothing can be held, watched or served: answered at once.
-        if !known || !sane || req.deadline < self.now + self.margin() {
+        if !known || !sane || req.deadline < self.now + 2 * WAKE_TICKS * self.s.tick {
             return self.refuse(req.id, 0, act);
         }
         let unseen = self.meet(&req);
@@ -263,7 +279,7 @@
         if !self.ladder_passes(req.customer, plan, unseen) {
             return self.refuse(req.id, Micros::MAX, act);
         }
-        if self.out as f64 >= self.limit && self.waiting.len() as f64 >= self.limit * HOLD {
+        if self.out as f64 >= self.limit() && self.waiting.len() as f64 >= self.limit() * HOLD {
             self.turned_away += 0.05 * (1.0 - self.turned_away); // no place, none soon
             return self.refuse(req.id, Micros::MAX, act);
         }
@@ -275,10 +291,6 @@
         self.dispatch(act);
     }
 
-    fn margin(&self) -> Micros {
-        2 * WAKE_TICKS * self.s.tick
-    }
-
     fn refuse(&self, id: RequestId, pause: Micros, act: &mut Vec<Action>) {
         let most = if self.s.limits.retry_after { self.s.limits.max_retry_after } else { 0 };
         act.push(Action::Refuse { id, pause: pause.min(most) });
@@ -401,11 +413,16 @@
         let keep = decay(self.pressure_at, self.now, PRESSURE_TAU).min(0.98);
         self.pressure = self.pressure * keep + ratio.min(4.0) * (1.0 - keep);
         self.pressure_at = self.now;
-        if self.pressure < GROW && self.out as f64 > self.limit * 0.7 {
-            self.limit += 2.0 / self.limit.max(1.0);
+        if self.pressure < GROW && self.out as f64 > self.limit() * 0.7 {
+            self.places *= 1.0 + 2.0 / self.limit().max(2.0).powi(2);
         }
     }
 
+    /// The bound on what this gateway has out: those left when backends fall must not inherit their load.
+    fn limit(&self) -> f64 {
+        (self.places * self.ready() as f64 / self.shares as f64).max(1.0)
+    }
+
     fn step_alert(&mut self, act: &mut Vec<Action>) {
         let since = self.now - self.rung_since;
         let rung = self.rung;
@@ -418,18 +435,13 @@
         }
         if rung != self.rung {
             self.rung_since = self.now;
-            act.push(Action::Log(format!(
-                "ladder: rung {rung} to {}, pressure {:.2}, limit {:.0}, out {}",
-                self.rung, self.pressure, self.limit, self.out
-            )));
-        }
-        let size = self.ready() as f64;
-        if self.limit == 0.0 && size > 0.0 {
-            self.limit = size * 12.0 / self.shares as f64;
+            let (now, p, limit, out) = (self.rung, self.pressure, self.limit(), self.out);
+            let text = format!("ladder: rung {rung} to {now}, pressure {p:.2}, limit {limit:.0}, out {out}");
+            act.push(Action::Log(text));
         }
         // One cut in a memory of the pressure: answers sent before a cut must not cause the next one.
         if self.pressure > ALERT_ON && self.now - self.limit_at > (PRESSURE_TAU * SECOND) as Micros {
-            self.limit = (self.limit * 0.85).max(size * 2.0 / self.shares as f64);
+            self.places = (self.places * 0.85).max(PLACES / 6.0);
             self.limit_at = self.now;
         }
     }
@@ -440,7 +452,7 @@
         while let Some(id) = self.waiting.front().copied() {
             let ready = self.requests.get(&id).is_some_and(|o| !o.done && o.out() == 0);
             if ready {
-                if self.out as f64 >= self.limit && self.limit > 0.0 {
+                if self.out as f64 >= self.limit() {
                     return;
                 }
                 if !self.send(id, act) {
@@ -497,11 +509,11 @@
         };
         let mut best: Option<(f64, BackendId)> = None;
         for (i, (bid, b)) in self.backends.iter().enumerate() {
-            let fits = match bound {
-                None | Some((Group::All, _)) => true,
-                Some((Group::Zone, l)) => b.listed.zone == l.zone,
-                Some((Group::Cell, l)) => b.listed.cell == l.cell,
-            };
+            let fits = bound.map_or(true, |(group, l): (Group, Listed)| match group {
+                Group::All => true,
+                Group::Zone => b.listed.zone == l.zone,
+                Group::Cell => b.listed.cell == l.cell,
+            });
             let tried = o.attempts.iter().any(|a| a.to.backend == *bid);
             let warmth = self.warmth(b);
             // Shunning most of the fleet would push the rest over: then nobody is shunned.
@@ -510,9 +522,9 @@
             }
             let jitter = 1.0 + 0.1 * ((noise + i as f64 * 0.618_034) % 1.0);
             let far = if b.listed.zone == self.s.zone { 1.0 } else { 1.05 };
-            let mut cost =
-                (f64::from(b.out) + 1.0 + b.queue / self.shares as f64) * b.slow / (b.size * warmth);
-            cost *= jitter * far * (1.0 + 10.0 * b.errors) * if tried { 8.0 } else { 1.0 };
+            let load = f64::from(b.out) + 1.0 + b.queue / self.shares as f64;
+            let doubt = (1.0 + 10.0 * b.errors) * if tried { 8.0 } else { 1.0 };
+            let cost = load * b.slow / (b.size * warmth) * jitter * far * doubt;
             if best.map_or(true, |(c, _)| cost < c) {
                 best = Some((cost, *bid));
             }
@@ -550,20 +562,9 @@
 
     // ---- 4. Answers: health, further attempts, the final answer ----
 
-    fn on_answer(
-        &mut self,
-        bid: BackendId,
-        outcome: Outcome,
-        took: Micros,
-        id: RequestId,
-        report: Option<Report>,
-    ) {
-        let class = self.requests.get(&id).map(|o| usize::from(o.req.class));
+    fn on_answer(&mut self, bid: BackendId, outcome: Outcome, took: Micros, class: Option<usize>) {
         let (now, shares) = (self.now, self.shares as f64);
         let Some(b) = self.backends.get_mut(&bid) else { return };
-        if let Some(queue) = report.and_then(|r| r.queue) {
-            b.queue = queue.clamp(0.0, 1000.0);
-        }
         let zone = self.zones.entry(b.listed.zone).or_insert((0, 0));
         match outcome {
             Outcome::ConnectFailed | Outcome::TimedOut => zone.1 = now,
@@ -609,7 +610,11 @@
         else {
             return;
         };
-        self.on_answer(backend, outcome, took, id, report);
+        let class = self.requests.get(&id).map(|o| usize::from(o.req.class));
+        self.on_answer(backend, outcome, took, class);
+        if let (Some(b), Some(queue)) = (self.backends.get_mut(&backend), report.and_then(|r| r.queue)) {
+            b.queue = queue.clamp(0.0, 1000.0);
+        }
         let Some(o) = self.requests.get_mut(&id) else { return };
         let Some(a) = o.attempts.get_mut(usize::from(attempt)).filter(|a| a.out) else { return };
         (a.out, a.void) = (false, outcome.never_ran());
@@ -630,11 +635,8 @@
         o.done |= complete || outcome == Outcome::Ok;
         if o.done {
             self.on_gone(id, act);
-        } else if o.out() == 0 {
-            let late = outcome == Outcome::TimedOut && self.now + self.s.tick >= o.req.deadline;
-            if late || !self.again(id, act) {
-                self.finish(id, act);
-            }
+        } else if o.out() == 0 && !self.again(id, act) {
+            self.finish(id, act);
         }
         self.dispatch(act);
     }
@@ -644,7 +646,7 @@
         let o = &self.requests[&id];
         let class = &self.s.classes[usize::from(o.req.class)];
         let allowed = class.repeat != Repeat::Once || o.may_have_run().is_none();
-        let useful = self.now < (o.arrived + class.aim).min(o.req.deadline);
+        let useful = self.now + self.s.tick < (o.arrived + class.aim).min(o.req.deadline);
         let room = (o.attempts.len() as u32) < self.s.limits.max_attempts;
         let single = o.out() == 0 || self.s.limits.second_copies;
         if !allowed || !useful || !room || !single || self.retries < 1.0 || !self.send(id, act) {
@@ -684,12 +686,6 @@
         }
     }
 
-    fn on_first_byte(&mut self, id: RequestId, attempt: u16, act: &mut Vec<Action>) {
-        let Some(o) = self.requests.get_mut(&id) else { return };
-        call_off(o, Some(attempt), self.s.limits.cancel, act);
-        o.streaming = true;
-    }
-
     // ---- 5. Time passes: checks of requests, gossip, the list ----
 
     fn on_wake(&mut self, act: &mut Vec<Action>) {
@@ -700,7 +696,7 @@
             self.checks.pop();
             self.check(id, act);
         }
-        let margin = self.margin();
+        let margin = 2 * WAKE_TICKS * self.s.tick;
         for _ in 0..self.waiting.len() {
             let Some(id) = self.waiting.pop_front() else { break };
             let Some(o) = self.requests.get(&id).filter(|o| !o.done && o.out() == 0) else { continue };
@@ -757,9 +753,8 @@
     /// Silent, and its zone's backends do not answer either: cut off, not stopped.
     fn is_cut(&self, peer: &Peer) -> bool {
         let (ok, failed) = self.zones.get(&peer.zone).copied().unwrap_or((0, 0));
-        self.now - peer.heard > SILENT_PERIODS * self.gossip_period()
-            && peer.zone != self.s.zone
-            && failed > ok
+        let silent = self.now - peer.heard > SILENT_PERIODS * self.gossip_period();
+        silent && peer.zone != self.s.zone && failed > ok
     }
 
     fn tell(&self, to: Option<u16>, seq: u32, body: Body) -> Action {
@@ -768,8 +763,11 @@
     }
 
     fn gossip(&mut self, act: &mut Vec<Action>) {
-        let dirty = self.customers.iter().filter(|(_, c)| c.dirty > 0).map(|(id, _)| *id);
+        // Round from where the last message ended: else the last ids go untold when more change than fit.
+        let round = self.customers.range(self.told..).chain(self.customers.range(..self.told));
+        let dirty = round.filter(|(_, c)| c.dirty > 0).map(|(id, _)| *id);
         let dirty: Vec<CustomerId> = dirty.take(MOST_USES).collect();
+        self.told = dirty.last().map_or(self.told, |id| CustomerId(id.0 + 1));
         let mut uses = Vec::new();
         for id in dirty {
             self.fill(id);
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -378,3 +378,69 @@
     let down = log.iter().rev().find(|(_, l)| l.contains("rung 1 to 0")).expect("the end of the alert");
     assert!(down.0 > 300);
 }
+
+#[test]
+fn backends_that_are_left_do_not_inherit_the_load_of_the_fallen() {
+    let out = |left: u64| {
+        let mut rig = Rig::with(settings(), 12);
+        rig.feed(Event::Roster(RosterKind::Full, (0..left).map(listed).collect()));
+        (0..200).map(|n| sends(&rig.ask(0, 0, n, 1.0).1).len()).sum::<usize>()
+    };
+    assert!(out(12) >= 12);
+    assert!(out(6) * 2 <= out(12) + 2, "{} out at 6 backends, {} at 12", out(6), out(12));
+}
+
+#[test]
+fn gossip_tells_every_customer_in_turn() {
+    let mut rig = Rig::with(settings(), 4);
+    let mut told = std::collections::BTreeSet::new();
+    for _ in 0..20 {
+        for n in 0..100 {
+            let (id, actions) = rig.ask(0, 0, n, 1.0);
+            for backend in sends(&actions) {
+                rig.settle(id, 0, backend, Outcome::Ok);
+            }
+        }
+        for action in rig.pass(100_000) {
+            if let Action::Tell { bytes, .. } = action {
+                told.extend((0..100u8).filter(|n| bytes.windows(5).any(|w| w == [*n, 0, 0, 0, 0])));
+            }
+        }
+    }
+    assert_eq!(told.len(), 100, "with more changed customers than a message holds, none is left out");
+}
+
+/// A rung cuts the same customers for an epoch: a refused client's retry gets the same answer.
+#[test]
+fn the_ladder_cuts_whole_customers_alike_at_all_gateways() {
+    let verdicts = |me: u16| {
+        let mut s = Settings { me: GatewayNo(me), ..settings() };
+        s.plans = vec![plan(1e6, 1e6)];
+        let mut rig = Rig::with(s, 4);
+        for step in 0..400u64 {
+            let (id, actions) = rig.ask(0, 0, step % 40, 1.0);
+            for backend in sends(&actions) {
+                let took = if step < 40 { 100_000 } else { 900_000 };
+                let (complete, outcome) = (true, Outcome::Ok);
+                let (metered, charged, report) = (None, None, None);
+                let attempt = 0;
+                rig.feed(Event::Settled {
+                    id,
+                    attempt,
+                    backend,
+                    outcome,
+                    complete,
+                    took,
+                    metered,
+                    charged,
+                    report,
+                });
+            }
+            rig.pass(20_000);
+        }
+        (0..40).map(|n| refused(&rig.ask(0, 0, n, 1.0).1)).collect::<Vec<_>>()
+    };
+    let (here, there) = (verdicts(0), verdicts(1));
+    assert_eq!(here, there);
+    assert!(here.contains(&true) && here.contains(&false), "half of amber passes on the third rung");
+}
--- /dev/null
+++ b/tests/hostile.rs
@@ -0,0 +1,297 @@
+//! Properties over arbitrary legal and hostile sequences of events, with a fixed seed.
+
+use chalkgap::*;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+use std::collections::{BTreeMap, BTreeSet};
+
+const T0: Micros = 50_000_000;
+
+fn settings() -> Settings {
+    let class = |repeat| Class {
+        aim: 500_000,
+        aim_stretch: 0.0,
+        deadline: 2_000_000,
+        worth: 1.0,
+        late_worth: 0.0,
+        repeat,
+        stream: false,
+    };
+    let plan = |ceiling_rate, ceiling_burst| Plan {
+        rate: 20.0,
+        burst: 40.0,
+        open_cap: 0,
+        ceiling_rate,
+        ceiling_burst,
+        ceiling_slack: 1.0,
+        price: 1.0,
+        over_worth: 0.0,
+        over_cost: 1.0,
+    };
+    let keyed = Repeat::Keyed { group: Group::Cell, window: 1_000_000 };
+    Settings {
+        gateways: 3,
+        tick: 4_000,
+        classes: vec![class(Repeat::Safe), class(keyed), class(Repeat::Once)],
+        plans: vec![plan(0.0, 0.0), plan(30.0, 60.0)],
+        limits: Limits {
+            max_attempts: 3,
+            second_copies: false,
+            cancel: true,
+            peers: true,
+            peer_in_per_s: 50.0,
+            retry_after: true,
+            max_retry_after: 1_000_000,
+            ..Limits::default()
+        },
+        rules: Rules {
+            cold_from: 0.2,
+            cold_time: 5_000_000,
+            fall_factor: 3.0,
+            fall_time: 1_000_000,
+            ..Rules::default()
+        },
+        ..Settings::default()
+    }
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Ask { class: u8, plan: u16, customer: u64, units: f64, width: f64, left: Micros },
+    Settle { pick: usize, outcome: usize, unknown: bool },
+    Withdraw(usize),
+    Peer { from: u16, bytes: Vec<u8> },
+    Roster { kind: u8, states: Vec<u8>, cold: bool },
+    Pass(u64),
+    Stray(u64),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let units = prop_oneof![Just(1.0), Just(4.0), Just(0.0), Just(f64::NAN), Just(-3.0), Just(1e300)];
+    let width = prop_oneof![Just(3.0), Just(2.0), Just(0.0), Just(f64::INFINITY)];
+    prop_oneof![
+        8 => (0u8..4, 0u16..3, 0u64..6, units, width, 0u64..2_000_000).prop_map(
+            |(class, plan, customer, units, width, left)| Step::Ask { class, plan, customer, units, width, left }
+        ),
+        8 => (0usize..50, 0usize..7, prop::bool::weighted(0.05)).prop_map(|(pick, outcome, unknown)| Step::Settle {
+            pick,
+            outcome,
+            unknown
+        }),
+        1 => (0usize..50).prop_map(Step::Withdraw),
+        2 => (0u16..5, prop::collection::vec(prop_oneof![0u8..4, any::<u8>()], 0..60))
+            .prop_map(|(from, bytes)| Step::Peer { from, bytes }),
+        1 => (0u8..4, prop::collection::vec(0u8..3, 0..6), any::<bool>())
+            .prop_map(|(kind, states, cold)| Step::Roster { kind, states, cold }),
+        6 => (1u64..30).prop_map(Step::Pass),
+        1 => any::<u64>().prop_map(Step::Stray),
+    ]
+}
+
+/// What a host knows, to hold the gateway to the rules.
+#[derive(Default)]
+struct Host {
+    deadlines: BTreeMap<RequestId, Micros>,
+    classes: BTreeMap<RequestId, u8>,
+    ended: BTreeSet<RequestId>,
+    attempts: BTreeMap<RequestId, u16>,
+    out: Vec<(RequestId, u16, BackendId)>,
+    unproved: BTreeMap<RequestId, u16>,
+    shut: BTreeSet<BackendId>,
+    ceiling: BTreeMap<u64, f64>,
+    customers: BTreeMap<RequestId, (u16, u64, f64)>,
+    log: Vec<String>,
+}
+
+impl Host {
+    fn take(&mut self, now: Micros, actions: &[Action]) {
+        for action in actions {
+            self.log.push(format!("{now} {action:?}"));
+            match action {
+                Action::Send { id, backend, .. } => {
+                    assert!(!self.ended.contains(id), "sent after its end");
+                    assert!(!self.shut.contains(backend), "sent to a draining or gone backend");
+                    assert!(!self.out.iter().any(|o| o.0 == *id), "two attempts at once");
+                    let n = self.attempts.entry(*id).or_insert(0);
+                    assert!(*n < 3, "more attempts than allowed");
+                    let unproved = self.unproved.entry(*id).or_insert(0);
+                    assert!(self.classes[id] != 2 || *unproved == 0, "an unsafe request sent again");
+                    *unproved += 1;
+                    self.out.push((*id, *n, *backend));
+                    *n += 1;
+                    let (plan, customer, units) = self.customers[id];
+                    if plan == 1 && *n == 1 {
+                        *self.ceiling.entry(customer).or_insert(0.0) += units;
+                    }
+                }
+                Action::Refuse { id, .. } => {
+                    assert!(self.ended.insert(*id), "a second answer");
+                    let unproved = self.unproved.get(id).copied().unwrap_or(0);
+                    assert!(self.classes[id] == 0 || unproved == 0, "refused what may have run");
+                }
+                Action::Fail(id) => assert!(self.ended.insert(*id), "a second answer"),
+                Action::Probe(_) | Action::Count { .. } => panic!("forbidden here"),
+                _ => {}
+            }
+        }
+        // A third of the ceiling is this gateway's, from nothing at its start; widths of 2 allow a half.
+        let life = (now - T0) as f64 / 1e6;
+        for used in self.ceiling.values() {
+            assert!(*used <= 30.0 * life + 60.0 + 1e-6, "the ceiling's share is overdrawn");
+        }
+    }
+}
+
+fn play(steps: &[Step]) -> Vec<String> {
+    let (mut gateway, mut host, mut now, mut next) =
+        (Gateway::new(settings(), 3, T0), Host::default(), T0, 0);
+    let outcomes = [
+        Outcome::Ok,
+        Outcome::Error,
+        Outcome::Full,
+        Outcome::ConnectFailed,
+        Outcome::Reset,
+        Outcome::TimedOut,
+        Outcome::Cancelled,
+    ];
+    let mut feed = |host: &mut Host, now: Micros, event: Event| {
+        let mut actions = Vec::new();
+        gateway.handle(now, event, &mut actions);
+        host.take(now, &actions);
+    };
+    let listed = |n: u64, state: u8, started: Micros| Listed {
+        backend: BackendId(n),
+        zone: (n % 2) as u8,
+        cell: (n % 2) as u16,
+        availability: [Availability::Ready, Availability::Draining, Availability::Gone][usize::from(state)],
+        size: 1.0,
+        started,
+        ..Listed::default()
+    };
+    feed(&mut host, now, Event::Roster(RosterKind::Cached, (0..5).map(|n| listed(n, 0, 0)).collect()));
+    for step in steps.iter().cloned() {
+        match step {
+            Step::Ask { class, plan, customer, units, width, left } => {
+                let id = RequestId(next);
+                next += 1;
+                let deadline = now + left;
+                host.deadlines.insert(id, deadline);
+                host.classes.insert(id, if class < 3 { class } else { 0 });
+                host.customers.insert(id, (plan, customer, units));
+                let customer = CustomerId(customer);
+                let req = Request { id, class, plan, customer, deadline, units, width, first: 0.0 };
+                feed(&mut host, now, Event::Request(req));
+            }
+            Step::Settle { pick, outcome, unknown } => {
+                let outcome = outcomes[outcome];
+                let at = if host.out.is_empty() { None } else { Some(pick % host.out.len()) };
+                let (id, attempt, backend) = match at.filter(|_| !unknown) {
+                    Some(at) => host.out.swap_remove(at),
+                    None => (RequestId(1 << 40), 7, BackendId(77)),
+                };
+                if outcome.never_ran() {
+                    host.unproved.entry(id).and_modify(|n| *n -= 1);
+                }
+                let complete = outcome == Outcome::Ok || host.ended.contains(&id);
+                if outcome == Outcome::Ok {
+                    host.ended.insert(id);
+                }
+                feed(
+                    &mut host,
+                    now,
+                    Event::Settled {
+                        id,
+                        attempt,
+                        backend,
+                        outcome,
+                        complete,
+                        took: 50_000,
+                        metered: None,
+                        charged: None,
+                        report: None,
+                    },
+                );
+            }
+            Step::Withdraw(pick) => {
+                let id = RequestId(pick as u64);
+                if id.0 < next {
+                    host.ended.insert(id);
+                }
+                feed(&mut host, now, Event::Withdrawn(id));
+            }
+            Step::Peer { from, bytes } => feed(&mut host, now, Event::Peer { from: GatewayNo(from), bytes }),
+            Step::Roster { kind, states, cold } => {
+                let kind = [RosterKind::Delta, RosterKind::Full, RosterKind::Cached, RosterKind::Failed]
+                    [usize::from(kind)];
+                let list: Vec<_> =
+                    (0..).zip(&states).map(|(n, s)| listed(n, *s, if cold { now } else { 0 })).collect();
+                if kind == RosterKind::Full || kind == RosterKind::Cached {
+                    host.shut = (0..6).map(BackendId).collect();
+                }
+                if kind != RosterKind::Failed {
+                    for l in &list {
+                        host.shut.remove(&l.backend);
+                        if l.availability != Availability::Ready {
+                            host.shut.insert(l.backend);
+                        }
+                    }
+                }
+                feed(&mut host, now, Event::Roster(kind, list));
+            }
+            Step::Pass(ticks) => {
+                for _ in 0..ticks {
+                    now += 20_000;
+                    feed(&mut host, now, Event::Timer(0));
+                }
+            }
+            Step::Stray(n) => {
+                feed(&mut host, now, Event::Timer(n as u32));
+                feed(&mut host, now, Event::FirstByte { id: RequestId(n), attempt: n as u16 });
+                let report = Some(Report { queue: Some(f64::NAN), ..Report::default() });
+                let (backend, outcome) = (BackendId(n), Outcome::Ok);
+                feed(&mut host, now, Event::Probed { backend, outcome, took: n, report });
+                feed(&mut host, now, Event::Counted { name: n, outcome, total: f64::NAN });
+            }
+        }
+    }
+    // At the end all that is out times out at the deadlines, and every request has its answer.
+    for _ in 0..150 {
+        now += 20_000;
+        feed(&mut host, now, Event::Timer(0));
+        for (id, attempt, backend) in std::mem::take(&mut host.out) {
+            let complete = host.ended.contains(&id);
+            let outcome = Outcome::TimedOut;
+            feed(
+                &mut host,
+                now,
+                Event::Settled {
+                    id,
+                    attempt,
+                    backend,
+                    outcome,
+                    complete,
+                    took: 1,
+                    metered: None,
+                    charged: None,
+                    report: None,
+                },
+            );
+        }
+    }
+    for id in host.deadlines.keys() {
+        assert!(host.ended.contains(id), "{id:?} got no answer");
+    }
+    host.log
+}
+
+#[test]
+fn rules_hold_under_arbitrary_events_and_equal_events_give_equal_actions() {
+    let config = Config { cases: 300, failure_persistence: None, ..Config::default() };
+    let mut runner = TestRunner::new_with_rng(config, TestRng::from_seed(RngAlgorithm::ChaCha, &[7; 32]));
+    runner
+        .run(&prop::collection::vec(step(), 1..150), |steps| {
+            prop_assert_eq!(play(&steps), play(&steps));
+            Ok(())
+        })
+        .unwrap();
+}
