--- a/src/control.rs
+++ b/src/control.rs
@@ -745,9 +745,9 @@
     // ---- 6. Peers ----
 
     fn gossip_period(&self) -> Micros {
-        // Half of what a receiver takes in, over all senders; no faster than 20 a second: bytes cost.
+        // Most of what a receiver takes in, over all senders; no faster than 20 a second: bytes cost.
         let most = self.s.limits.peer_in_per_s.max(1.0);
-        ((2.5 * (self.shares as f64 - 1.0) / most * SECOND) as Micros).max(50_000)
+        ((1.5 * (self.shares as f64 - 1.0) / most * SECOND) as Micros).max(50_000)
     }
 
     /// Silent, and its zone's backends do not answer either: cut off, not stopped.
