--- a/src/control.rs
+++ b/src/control.rs
@@ -801,10 +801,10 @@
             let plan = &self.s.plans[c.plan];
             let Some((n, h)) = c.heard.iter().max_by(|a, b| a.1.rate.total_cmp(&b.1.rate)) else { continue };
             let part = plan.ceiling_rate / c.width.max(1.0);
-            let keep = (c.rate * 0.5).max(plan.ceiling_burst / c.width.max(1.0) * 0.1);
+            let keep = c.rate.max(plan.ceiling_burst / c.width.max(1.0) * 0.3);
             let give = whole_parts((c.ceiling - keep).min(h.rate));
             let live = self.peers.get(n).is_some_and(|p| self.now - p.heard < 500_000);
-            if plan.ceiling_rate <= 0.0 || h.rate < part * 0.3 || h.rate < c.rate || give < 1.0 || !live {
+            if plan.ceiling_rate <= 0.0 || h.rate < part * 0.6 || h.rate < c.rate || give < 1.0 || !live {
                 continue;
             }
             let list = gifts.entry(*n).or_default();
