--- a/src/control.rs
+++ b/src/control.rs
@@ -12,8 +12,7 @@
 /// Shares of amber that pass on rungs 1 to 3 (paper, table I); green is cut alike from rung 2.
 const AMBER: [f64; 4] = [1.0, 0.9, 0.7, 0.5];
 const LAST_RUNG: usize = 4; // preferred only
-/// The least stay on a rung, upward and downward: several times an aim, so that a rung's effect is seen.
-const RUNG_UP: Micros = 1_500_000;
+const RUNG_UP: Micros = 1_500_000; // least stay on a rung, so that its effect is seen
 const RUNG_DOWN: Micros = 2_000_000;
 /// How long the same customers are cut: longer than clients go on retrying one request.
 const EPOCH: Micros = 10_000_000;
@@ -413,7 +412,9 @@
         let keep = decay(self.pressure_at, self.now, PRESSURE_TAU).min(0.98);
         self.pressure = self.pressure * keep + ratio.min(4.0) * (1.0 - keep);
         self.pressure_at = self.now;
-        if self.pressure < GROW && self.out as f64 > self.limit() * 0.7 {
+        // Back to where it began at any pressure short of an alert: else a bound once cut stays cut.
+        let below = if self.places < PLACES { ALERT_OFF } else { GROW };
+        if self.pressure < below && self.out as f64 > self.limit() * 0.7 {
             self.places *= 1.0 + 2.0 / self.limit().max(2.0).powi(2);
         }
     }
