--- a/src/control.rs
+++ b/src/control.rs
@@ -429,8 +429,7 @@
         let rung = self.rung;
         // Refusals alone hold no alert up: cutting causes refusals, and the fleet may be idle behind them.
         let refusing = self.pressure > ALERT_OFF && self.turned_away > AWAY;
-        let top = if self.pressure > 1.5 * ALERT_ON { LAST_RUNG } else { LAST_RUNG - 1 };
-        if (self.pressure > ALERT_ON || refusing) && since > RUNG_UP && rung < top {
+        if (self.pressure > ALERT_ON || refusing) && since > RUNG_UP && rung < LAST_RUNG {
             self.rung += 1;
         } else if self.pressure < ALERT_OFF && since > RUNG_DOWN && rung > 0 {
             self.rung -= 1;
