--- a/src/control.rs
+++ b/src/control.rs
@@ -14,13 +14,11 @@
 const LAST_RUNG: usize = 4; // preferred only
 const RUNG_UP: Micros = 1_500_000; // least stay on a rung, so that its effect is seen
 const RUNG_DOWN: Micros = 2_000_000;
-/// How long the same customers are cut: longer than clients go on retrying one request.
-const EPOCH: Micros = 10_000_000;
+const EPOCH: Micros = 10_000_000; // how long the same customers are cut: longer than clients retry
 /// An answer weighs on the pressure by its time over the lesser of these: a multiple of its class's time on
 /// calm servers, and a share of its aim. Servers driven harder lose throughput before aims are missed.
 const CALM_MULTIPLE: f64 = 3.5;
-/// How much of itself the calm time may grow by in a second.
-const CALM_CREEP: f64 = 0.01;
+const CALM_CREEP: f64 = 0.01; // growth of the calm time by itself, in a second
 const AIM_SHARE: f64 = 0.6;
 /// Pressure that raises an alert and that ends it: between them nothing moves.
 const ALERT_ON: f64 = 1.0;
@@ -31,19 +29,16 @@
 const UNHEARD: Micros = 350_000;
 const AWAY: f64 = 0.05; // share turned away for want of a place that alerts while pressure is not low
 const PRESSURE_TAU: f64 = 1.0; // memory of the pressure in seconds: some dozen answers
-/// Memory of rates of use in seconds: longer than a client's pause, shorter than shifts of weight.
-const RATE_TAU: f64 = 2.0;
+const RATE_TAU: f64 = 2.0; // memory of use in seconds: longer than pauses, shorter than shifts of weight
 /// The share of an aim that a request may be held for a free place; held longer it would fail late.
 const HOLD: f64 = 0.3;
-/// The share of an aim after which an attempt at a silent backend is repeated elsewhere, if that may be.
+/// Shares of an aim after which an attempt at a silent, and at a talking, backend is repeated elsewhere.
 const SILENCE: f64 = 0.35;
-/// The share of an aim after which an attempt at a talking backend gets a second copy, if that may be.
 const HEDGE: f64 = 0.6;
 /// Further attempts per first attempt, and the store of them: retries cannot feed an overload.
 const RETRY_SHARE: f64 = 0.1;
 const RETRY_STORE: f64 = 10.0;
-/// The part of the rule's budget that is spent on a cold backend: the rest covers chance and other work.
-const COLD_MARGIN: f64 = 0.6;
+const COLD_MARGIN: f64 = 0.6; // part of the rule's budget spent on a cold backend: the rest is for chance
 /// Share of errors in recent answers from which a backend gets a trickle only.
 const SICK_ERRORS: f64 = 0.25;
 /// How long a silent or failing backend rests before one attempt tries it again; doubles up to 2^3.
@@ -278,7 +273,9 @@
         if !self.ladder_passes(req.customer, plan, unseen) {
             return self.refuse(req.id, Micros::MAX, act);
         }
-        if self.out as f64 >= self.limit() && self.waiting.len() as f64 >= self.limit() * HOLD {
+        // The fuller the line, the fewer customers may join it; the same ones for an epoch, as on the ladder.
+        let line = self.waiting.len() as f64 / (self.limit() * HOLD);
+        if self.out as f64 >= self.limit() && self.draw(req.customer) >= 1.0 - line {
             self.turned_away += 0.05 * (1.0 - self.turned_away); // no place, none soon
             return self.refuse(req.id, Micros::MAX, act);
         }
@@ -403,7 +400,11 @@
             return true;
         }
         let share = if self.rung == LAST_RUNG && differ { 0.0 } else { AMBER[self.rung.min(3)] };
-        mix(customer.0 ^ (self.now / EPOCH) << 33) < share
+        self.draw(customer) < share
+    }
+
+    fn draw(&self, customer: CustomerId) -> f64 {
+        mix(customer.0 ^ (self.now / EPOCH) << 33)
     }
 
     // ---- 2. The alert: pressure, rungs, and the bound on what is out ----
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -444,3 +444,15 @@
     assert_eq!(here, there);
     assert!(here.contains(&true) && here.contains(&false), "half of amber passes on the third rung");
 }
+
+/// Whom a full bound turns away is drawn by customer and epoch, not by who comes last: a retry of the unlucky
+/// gets the same answer at every gateway.
+#[test]
+fn a_full_bound_turns_the_same_customers_away() {
+    let mut rig = Rig::with(settings(), 12);
+    let verdicts: Vec<bool> = (0..80).map(|n| refused(&rig.ask(0, 0, n, 1.0).1)).collect();
+    let first_refused = verdicts.iter().position(|r| *r).expect("the bound is full");
+    let last_taken = verdicts.iter().rposition(|r| !*r).expect("some are taken");
+    assert!(first_refused < last_taken, "the line is closed to some before it is full");
+    assert!(refused(&rig.ask(0, 0, first_refused as u64, 1.0).1), "asking again changes nothing");
+}
