--- a/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -5,7 +5,7 @@
 //! One request, from its arrival to its answer:
 //!
 //! ```
-//! use chalkgap::*;
+//! use chalkgap_core::*;
 //!
 //! let plan = Plan {
 //!     rate: 10.0, burst: 20.0, open_cap: 0, ceiling_rate: 0.0, ceiling_burst: 0.0, ceiling_slack: 0.0,
--- a/tests/control.rs
+++ b/crates/core/tests/control.rs
@@ -1,6 +1,6 @@
 //! The module by events and actions: no bench, no simulator.
 
-use chalkgap::*;
+use chalkgap_core::*;
 
 const T0: Micros = 1_000_000_000;
 const S: Micros = 1_000_000;
--- a/tests/hostile.rs
+++ b/crates/core/tests/hostile.rs
@@ -1,6 +1,6 @@
 //! Properties over arbitrary legal and hostile sequences of events, with a fixed seed.
 
-use chalkgap::*;
+use chalkgap_core::*;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 use std::collections::{BTreeMap, BTreeSet};
--- a/src/bin/chalkgap-simhost/conf.rs
+++ b/crates/simhost/src/conf.rs
@@ -1,6 +1,6 @@
 //! Reads the settings text into [`Settings`]. Unknown keys are skipped, missing or bad ones named.
 
-use chalkgap::{
+use chalkgap_core::{
     Class, Discovery, GatewayNo, Group, Limits, Micros, Plan, Repeat, Rules, Settings, SizeMeaning,
 };
 use std::collections::HashMap;
--- a/src/bin/chalkgap-simhost/main.rs
+++ b/crates/simhost/src/main.rs
@@ -3,7 +3,7 @@
 mod conf;
 mod wire;
 
-use chalkgap::{Action, Event, Gateway};
+use chalkgap_core::{Action, Event, Gateway};
 use std::collections::BTreeMap;
 use std::io::{self, Read, Write};
 use std::process::ExitCode;
--- a/src/bin/chalkgap-simhost/wire.rs
+++ b/crates/simhost/src/wire.rs
@@ -1,6 +1,6 @@
 //! The simulator's frames: reading batches, writing replies. Every length and offset is checked.
 
-use chalkgap::{
+use chalkgap_core::{
     Action, Availability, BackendId, CustomerId, Event, GatewayNo, Listed, Outcome, Report, Request,
     RequestId, RosterKind,
 };
