wire: HTTP/2, HPACK, gRPC, the rate limit messages and ORCA reports, sans-I/O

Tested against RFC 7541 appendix C, by conversations in memory, by each generated connection and stream error, by floods, and by property tests on any bytes, any frames and any cut.

--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,12 @@
+//! Codecs without input or output: bytes go in, events come out, and the other way round. No clock is read and no
+//! socket is known here; whoever moves the bytes passes the time where a limit by time needs it.
+//!
+//! - [`http2`]: frames, HPACK, flow control and the state of a connection (RFC 9113, RFC 7541), both sides
+//! - [`grpc`]: gRPC over HTTP/2: message framing, time-outs, status and its trailers
+//! - [`ratelimit`]: the messages of `envoy.service.ratelimit.v3.RateLimitService` and of `grpc.health.v1`
+//! - [`orca`]: load reports of nodes (the text form of `endpoint-load-metrics`)
+
+pub mod grpc;
+pub mod http2;
+pub mod orca;
+pub mod ratelimit;
