--- /dev/null
+++ b/crates/runtime/src/system.rs
@@ -0,0 +1,258 @@
+//! The real world: sockets by async-io, tasks by async-executor, files on a pool of threads that may block.
+
+use super::*;
+use async_executor::Executor;
+use async_io::{Async, Timer};
+use futures_lite::future;
+use std::fs;
+use std::io::{Read, Write};
+use std::net::{TcpListener, TcpStream, UdpSocket};
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+/// The system's runtime. Its tasks run in [`System::run`] and on the threads of [`System::threads`].
+pub struct System {
+    executor: Executor<'static>,
+    start: Instant,
+    epoch: Micros,
+    files: Disk,
+}
+
+impl System {
+    /// A runtime whose clock begins at the system's time.
+    pub fn new() -> Arc<System> {
+        let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let epoch = since.as_micros() as Micros;
+        Arc::new(System { executor: Executor::new(), start: Instant::now(), epoch, files: Disk })
+    }
+
+    /// Runs tasks on this thread until `main` ends.
+    pub fn run<T>(self: &Arc<Self>, main: impl Future<Output = T>) -> T {
+        async_io::block_on(self.executor.run(main))
+    }
+
+    /// Starts threads that run tasks for as long as the process lives.
+    pub fn threads(self: &Arc<Self>, count: usize) {
+        for n in 0..count {
+            let system = self.clone();
+            let thread = std::thread::Builder::new().name(format!("chalkgap-{n}"));
+            // Without it there is one thread less; the ones that run take its tasks.
+            let _ = thread.spawn(move || system.run(future::pending::<()>()));
+        }
+    }
+}
+
+struct Tcp {
+    stream: Async<TcpStream>,
+    peer: SocketAddr,
+}
+
+impl Tcp {
+    fn boxed(stream: Async<TcpStream>, peer: SocketAddr) -> io::Result<Box<dyn Stream>> {
+        stream.get_ref().set_nodelay(true)?; // answers are small and whole
+        Ok(Box::new(Tcp { stream, peer }))
+    }
+}
+
+impl AsyncRead for Tcp {
+    fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut [u8]) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_read(cx, buf)
+    }
+}
+
+impl AsyncWrite for Tcp {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, buf)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_close(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_close(cx)
+    }
+}
+
+impl Stream for Tcp {
+    fn peer(&self) -> SocketAddr {
+        self.peer
+    }
+}
+
+struct TcpDoor {
+    listener: Async<TcpListener>,
+    address: SocketAddr,
+}
+
+impl Listener for TcpDoor {
+    fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    fn accept(&self) -> BoxFuture<'_, io::Result<Box<dyn Stream>>> {
+        Box::pin(async move {
+            let (stream, peer) = self.listener.accept().await?;
+            Tcp::boxed(stream, peer)
+        })
+    }
+}
+
+struct Udp {
+    socket: Async<UdpSocket>,
+    address: SocketAddr,
+}
+
+impl Datagrams for Udp {
+    fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    fn send<'a>(&'a self, bytes: &'a [u8], to: SocketAddr) -> BoxFuture<'a, io::Result<()>> {
+        Box::pin(async move { self.socket.send_to(bytes, to).await.map(|_| ()) })
+    }
+
+    fn receive<'a>(&'a self, buffer: &'a mut [u8]) -> BoxFuture<'a, io::Result<(usize, SocketAddr)>> {
+        Box::pin(self.socket.recv_from(buffer))
+    }
+}
+
+struct Disk;
+
+/// Tells files apart that are written beside the same one at the same time.
+static BESIDE: AtomicU64 = AtomicU64::new(0);
+
+fn replace(path: &Path, bytes: &[u8]) -> io::Result<()> {
+    let mut beside = path.as_os_str().to_owned();
+    beside.push(format!(".{}.{}.new", std::process::id(), BESIDE.fetch_add(1, Ordering::Relaxed)));
+    let beside = PathBuf::from(beside);
+    let written = (|| {
+        let mut file = fs::File::create(&beside)?;
+        file.write_all(bytes)?;
+        file.sync_all()?;
+        fs::rename(&beside, path)?;
+        let folder = path.parent().filter(|p| !p.as_os_str().is_empty()).unwrap_or(Path::new("."));
+        fs::File::open(folder)?.sync_all()
+    })();
+    if written.is_err() {
+        let _ = fs::remove_file(&beside); // the error that counts is the one before
+    }
+    written
+}
+
+impl Files for Disk {
+    fn read<'a>(&'a self, path: &'a Path, most: u64) -> BoxFuture<'a, io::Result<Vec<u8>>> {
+        let path = path.to_owned();
+        Box::pin(blocking::unblock(move || {
+            let mut bytes = Vec::new();
+            fs::File::open(path)?.take(most.saturating_add(1)).read_to_end(&mut bytes)?;
+            if bytes.len() as u64 > most {
+                let text = format!("the file has more than {most} bytes");
+                return Err(io::Error::new(io::ErrorKind::FileTooLarge, text));
+            }
+            Ok(bytes)
+        }))
+    }
+
+    fn replace<'a>(&'a self, path: &'a Path, bytes: Vec<u8>) -> BoxFuture<'a, io::Result<()>> {
+        let path = path.to_owned();
+        Box::pin(blocking::unblock(move || replace(&path, &bytes)))
+    }
+
+    fn stamp<'a>(&'a self, path: &'a Path) -> BoxFuture<'a, io::Result<(Micros, u64)>> {
+        let path = path.to_owned();
+        Box::pin(blocking::unblock(move || {
+            let meta = fs::metadata(path)?;
+            let since = meta.modified()?.duration_since(UNIX_EPOCH).unwrap_or_default();
+            Ok((since.as_micros() as Micros, meta.len()))
+        }))
+    }
+}
+
+impl Runtime for System {
+    fn now(&self) -> Micros {
+        self.epoch + self.start.elapsed().as_micros() as Micros
+    }
+
+    fn sleep_until(&self, at: Micros) -> BoxFuture<'static, ()> {
+        let end = self.start + Duration::from_micros(at.saturating_sub(self.epoch));
+        Box::pin(async move {
+            Timer::at(end).await;
+        })
+    }
+
+    fn spawn(&self, task: BoxFuture<'static, ()>) -> Task {
+        self.executor.spawn(task)
+    }
+
+    fn listen(&self, at: SocketAddr) -> io::Result<Box<dyn Listener>> {
+        let listener = Async::<TcpListener>::bind(at)?;
+        let address = listener.get_ref().local_addr()?;
+        Ok(Box::new(TcpDoor { listener, address }))
+    }
+
+    fn connect(&self, to: SocketAddr) -> BoxFuture<'static, io::Result<Box<dyn Stream>>> {
+        Box::pin(async move { Tcp::boxed(Async::<TcpStream>::connect(to).await?, to) })
+    }
+
+    fn datagrams(&self, at: SocketAddr) -> io::Result<Box<dyn Datagrams>> {
+        let socket = Async::<UdpSocket>::bind(at)?;
+        let address = socket.get_ref().local_addr()?;
+        Ok(Box::new(Udp { socket, address }))
+    }
+
+    fn files(&self) -> &dyn Files {
+        &self.files
+    }
+
+    fn random(&self) -> u64 {
+        rand::random()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use futures_lite::{AsyncReadExt, AsyncWriteExt};
+
+    #[test]
+    fn streams_and_files() {
+        let system = System::new();
+        system.clone().run(async move {
+            let door = system.listen(([127, 0, 0, 1], 0).into()).unwrap();
+            let mut near = system.connect(door.address()).await.unwrap();
+            let mut far = door.accept().await.unwrap();
+            near.write_all(b"word").await.unwrap();
+            let mut got = [0; 4];
+            far.read_exact(&mut got).await.unwrap();
+            assert_eq!(&got, b"word");
+
+            let folder = std::env::temp_dir().join(format!("chalkgap-runtime-{}", std::process::id()));
+            fs::create_dir_all(&folder).unwrap();
+            let path = folder.join("list");
+            system.files().replace(&path, b"one".to_vec()).await.unwrap();
+            system.files().replace(&path, b"two".to_vec()).await.unwrap();
+            assert_eq!(system.files().read(&path, 3).await.unwrap(), b"two");
+            let error = system.files().read(&path, 2).await.unwrap_err();
+            assert_eq!(error.kind(), io::ErrorKind::FileTooLarge);
+            assert_eq!(fs::read_dir(&folder).unwrap().count(), 1, "nothing is left beside");
+            fs::remove_dir_all(folder).unwrap();
+        });
+    }
+
+    #[test]
+    fn an_alarm_moves_both_ways() {
+        let system = System::new();
+        let mut alarm = Alarm::new(system.clone());
+        system.clone().run(future::poll_fn(|cx| {
+            assert!(alarm.poll(None, cx).is_pending());
+            assert!(alarm.poll(Some(system.now() + 60_000_000), cx).is_pending());
+            assert!(alarm.poll(Some(0), cx).is_ready());
+            Poll::Ready(())
+        }));
+        let at = system.now() + 2000;
+        system.run(future::poll_fn(|cx| alarm.poll(Some(at), cx)));
+        assert!(system.now() >= at);
+    }
+}
--- a/crates/wire/src/http2/conn.rs
+++ b/crates/wire/src/http2/conn.rs
@@ -613,15 +613,21 @@
             return Err(ConnError::new(Code::FLOW_CONTROL_ERROR, "DATA beyond the connection's window"));
         }
         let data = unpad(&head, payload).ok_or(protocol("padding longer than the frame"))?;
-        if data.is_empty() {
+        let end = head.has(END_STREAM);
+        if data.is_empty() && !end {
             self.spend(1.0, "too many empty DATA frames")?;
         }
         let Some(s) = self.streams.get_mut(&id) else {
             self.consumed(id, size);
-            if self.dropped.contains(&id) {
-                return self.spend(0.1, "too much DATA on streams that were reset");
-            }
-            return self.stream_error(id, Code::STREAM_CLOSED);
+            return match self.dropped.iter().position(|d| *d == id) {
+                // A client whose whole answer went out before its own end: that end costs it nothing, once.
+                Some(at) if end => {
+                    self.dropped.remove(at);
+                    Ok(())
+                }
+                Some(_) => self.spend(0.1, "too much DATA on streams that were reset"),
+                None => self.stream_error(id, Code::STREAM_CLOSED),
+            };
         };
         s.recv_window -= size as i64;
         if s.got_end || !s.got_headers {
@@ -633,7 +639,6 @@
             self.consumed(id, size);
             return self.stream_error(id, Code::FLOW_CONTROL_ERROR);
         }
-        let end = head.has(END_STREAM);
         s.got += data.len() as u64;
         s.got_end = end;
         let wrong = s.length.is_some_and(|l| s.got > l || (end && s.got != l));
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -4,9 +4,11 @@
 //! - [`http2`]: frames, HPACK, flow control and the state of a connection (RFC 9113, RFC 7541), both sides
 //! - [`grpc`]: gRPC over HTTP/2: message framing, time-outs, status and its trailers
 //! - [`ratelimit`]: the messages of `envoy.service.ratelimit.v3.RateLimitService` and of `grpc.health.v1`
+//! - [`intake`]: the messages between ingress and intake node
 //! - [`orca`]: load reports of nodes (the text form of `endpoint-load-metrics`)
 
 pub mod grpc;
 pub mod http2;
+pub mod intake;
 pub mod orca;
 pub mod ratelimit;
