--- /dev/null
+++ b/crates/cli/src/serve.rs
@@ -0,0 +1,73 @@
+//! `serve`: startup, signals, reading the settings; the rest is the library.
+
+use crate::{fail, Exit};
+use async_signal::{Signal, Signals};
+use chalkgap::runtime::{system::System, Runtime};
+use chalkgap::settings::{self, Compiled, Settings};
+use chalkgap::{Instance, StartError};
+use futures_lite::{future, StreamExt};
+use std::io::Write;
+use std::path::{Path, PathBuf};
+
+/// Run an ingress.
+#[derive(clap::Args)]
+pub(crate) struct Serve {
+    /// The settings, a Starlark script that binds `settings`.
+    file: PathBuf,
+    /// Text that the script reads as `given["KEY"]`.
+    #[arg(long = "set", value_name = "KEY=VALUE", value_parser = crate::pair)]
+    given: Vec<(String, String)>,
+    /// Threads besides the first that run connections.
+    #[arg(long, default_value_t = 0)]
+    threads: usize,
+    /// How long a drain may take, in seconds.
+    #[arg(long, default_value_t = 30.0)]
+    drain: f64,
+}
+
+/// Reads and checks a settings file.
+pub(crate) fn read(file: &Path, given: &[(String, String)]) -> Result<Settings, Exit> {
+    let name = file.display().to_string();
+    let text = std::fs::read_to_string(file).map_err(|e| fail(Exit::System, format!("{name}: {e}")))?;
+    let settings = settings::read(&name, text, given).map_err(|e| fail(Exit::Settings, e))?;
+    Compiled::new(settings.clone()).map_err(|e| fail(Exit::Settings, format!("{name}: {e}")))?;
+    Ok(settings)
+}
+
+pub(crate) fn run(args: Serve) -> Exit {
+    let settings = match read(&args.file, &args.given) {
+        Ok(settings) => settings,
+        Err(exit) => return exit,
+    };
+    let system = System::new();
+    system.threads(args.threads);
+    system.clone().run(async move {
+        // Before anything listens: a signal in between would end the process unasked.
+        let mut signals = match Signals::new([Signal::Term, Signal::Int]) {
+            Ok(signals) => signals,
+            Err(e) => return fail(Exit::System, format!("signals: {e}")),
+        };
+        let mut instance = match Instance::start(settings, system.clone()).await {
+            Ok(instance) => instance,
+            Err(e @ StartError::Settings(_)) => return fail(Exit::Settings, e),
+            Err(e) => return fail(Exit::System, e),
+        };
+        let peer = instance.peer_address().map(|a| a.to_string());
+        let line = serde_json::json!({"grpc": instance.grpc_address().to_string(), "peers": peer});
+        println!("{line}");
+        let _ = std::io::stdout().flush(); // nobody may read it
+        signals.next().await;
+        tracing::info!("draining");
+        let until = system.now() + (args.drain.clamp(0.0, 86_400.0) * 1e6) as u64;
+        let drained = instance.drain(until);
+        let second = async {
+            signals.next().await;
+            false
+        };
+        let whole = future::or(drained, second).await;
+        let counts = serde_json::to_string(&instance.counts()).unwrap_or_default();
+        tracing::info!(whole, counts, "stopped");
+        instance.stop();
+        Exit::Good
+    })
+}
--- a/crates/gateway/src/instance.rs
+++ b/crates/gateway/src/instance.rs
@@ -144,9 +144,11 @@
                     driver,
                 )));
             }
-            ListSource::Roster { .. } => {
-                let complaints = vec!["settings.nodes.source.roster: not built yet".into()];
-                return Err(SettingsError::Values { file: "settings".into(), complaints }.into());
+            ListSource::Roster { address } => {
+                let (telemetry, driver, alive) = (telemetry.clone(), driver.clone(), killed.clone());
+                let task =
+                    sources::watch_roster(runtime.clone(), telemetry, fleet.me, *address, driver, alive);
+                start(Box::pin(task));
             }
             ListSource::Handle => {}
         }
--- a/crates/standin/src/client.rs
+++ b/crates/standin/src/client.rs
@@ -76,7 +76,7 @@
         let (_keep, signal) = async_channel::bounded(1);
         let config = Config { max_streams: 0, ..Config::default() };
         let pipe = Pipe::new(runtime.clone(), stream, Connection::client(config), receiver.clone(), signal);
-        runtime.spawn(Box::pin(run(runtime.clone(), pipe, to, receiver))).detach();
+        runtime.spawn(Box::pin(run(runtime.clone(), pipe, to, receiver, ingress, journal.clone()))).detach();
         Ok(Client { runtime, journal, ingress, commands })
     }
 
@@ -111,7 +111,7 @@
         let sent = self.commands.send(Command::Start(grpc::frame(&request), now + ask.timeout, sender)).await;
         let end = match sent {
             Ok(()) => receiver.recv().await.unwrap_or_else(|_| outcome(journal::Answer::Broken)),
-            Err(_) => outcome(journal::Answer::Broken),
+            Err(_) => outcome(journal::Answer::NotTaken),
         };
         let answered = Seen::Answered { call: ask.call, answer: end.answer.clone() };
         self.journal.note(self.runtime.now(), answered);
@@ -129,7 +129,14 @@
 /// How long past its time a client still looks for an answer, to see a late one. The auditor judges by the times.
 const LOOK: Micros = 300_000;
 
-async fn run(runtime: Shared, mut pipe: Pipe<Command>, to: SocketAddr, commands: Receiver<Command>) {
+async fn run(
+    runtime: Shared,
+    mut pipe: Pipe<Command>,
+    to: SocketAddr,
+    commands: Receiver<Command>,
+    ingress: u16,
+    journal: Journal,
+) {
     let mut open: HashMap<u32, Open> = HashMap::new();
     let mut waiting = Vec::new();
     loop {
@@ -147,7 +154,11 @@
                     }
                 }
             }
-            Turn::Bad(_) | Turn::Closed => break,
+            Turn::Bad(e) => {
+                journal.note(runtime.now(), Seen::Broke { ingress, what: e.to_string() });
+                break;
+            }
+            Turn::Closed => break,
         }
         while let Some(event) = pipe.conn.event() {
             match event {
@@ -168,14 +179,17 @@
                     // A server that needs no more of the request says so after its answer.
                     if let Some(o) = open.remove(&stream) {
                         let message = format!("reset: {code}");
-                        let _ = o.reply.try_send(Outcome { message, ..outcome(journal::Answer::Broken) });
+                        let refused = code == Code::REFUSED_STREAM;
+                        let answer =
+                            if refused { journal::Answer::NotTaken } else { journal::Answer::Broken };
+                        let _ = o.reply.try_send(Outcome { message, ..outcome(answer) });
                     }
                 }
                 _ => {}
             }
         }
-        while pipe.conn.can_open().is_ok() {
-            let Some(Command::Start(message, until, reply)) = waiting.pop() else { break };
+        while pipe.conn.greeted() && pipe.conn.can_open().is_ok() && !waiting.is_empty() {
+            let Command::Start(message, until, reply) = waiting.remove(0);
             let left = until.saturating_sub(runtime.now());
             let fields = [
                 Field::constant(":method", "POST"),
@@ -195,6 +209,10 @@
         }
     }
     commands.close();
+    waiting.extend(std::iter::from_fn(|| commands.try_recv().ok()));
+    for Command::Start(_, _, reply) in waiting {
+        let _ = reply.try_send(outcome(journal::Answer::NotTaken));
+    }
     let _ = future::poll_once(pipe.close(runtime.now() + 100_000)).await; // a last word, if it can go at once
 }
 
--- a/crates/standin/src/journal.rs
+++ b/crates/standin/src/journal.rs
@@ -25,7 +25,9 @@
     },
     /// The connection broke, or none came about: no answer.
     Broken,
-    /// The client reset the call or its own time ran out: it wants no answer any more.
+    /// It was never sent, or the ingress stated that it did not look at it (REFUSED_STREAM, GOAWAY).
+    NotTaken,
+    /// The client's time ran out, and a while more: it waits no longer.
     Left,
 }
 
@@ -92,6 +94,13 @@
         /// It takes work.
         ready: bool,
     },
+    /// An ingress broke the protocol towards a client: a second answer, or a frame that has no place.
+    Broke {
+        /// The ingress.
+        ingress: u16,
+        /// What the client found.
+        what: String,
+    },
     /// An ingress was killed.
     Killed {
         /// The ingress.
--- a/crates/standin/src/node.rs
+++ b/crates/standin/src/node.rs
@@ -108,6 +108,10 @@
     pub halfway: f64,
     /// Work takes this many times longer; 0 and 1: as usual.
     pub slow: f64,
+    /// Attempts that cost more ...
+    pub tail: f64,
+    /// ... this many times.
+    pub tail_cost: f64,
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -139,7 +143,9 @@
     fn arrive(&mut self, class: &str, now: Micros) -> f64 {
         let mean = self.machine.work.get(class).copied().unwrap_or(0.0);
         let spread = LogNormal::new(0.0f64, 0.3).map_or(1.0, |d| d.sample(&mut self.rng));
-        let work = mean * spread / self.machine.speed;
+        let dear = self.faults.tail > 0.0 && self.rng.random::<f64>() < self.faults.tail;
+        let work =
+            mean * spread / self.machine.speed * if dear { self.faults.tail_cost.max(1.0) } else { 1.0 };
         let (warmth, m) = (self.warmth(now), &self.machine);
         if warmth < 1.0 {
             self.sent.push_back((now, work));
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -6,9 +6,11 @@
 //! - [`ratelimit`]: the messages of `envoy.service.ratelimit.v3.RateLimitService` and of `grpc.health.v1`
 //! - [`intake`]: the messages between ingress and intake node
 //! - [`orca`]: load reports of nodes (the text form of `endpoint-load-metrics`)
+//! - [`roster`]: the messages of a roster that pushes node lists
 
 pub mod grpc;
 pub mod http2;
 pub mod intake;
 pub mod orca;
 pub mod ratelimit;
+pub mod roster;
