--- /dev/null
+++ b/crates/cli/tests/command.rs
@@ -0,0 +1,122 @@
+//! The command as scripts see it: exit codes, complaints, the answer by hand.
+
+use std::io::{BufRead, BufReader};
+use std::path::PathBuf;
+use std::process::{Child, Command, Output, Stdio};
+
+fn chalkgap() -> Command {
+    Command::new(env!("CARGO_BIN_EXE_chalkgap"))
+}
+
+fn run(args: &[&str]) -> Output {
+    chalkgap().args(args).output().expect("it starts")
+}
+
+fn code(o: &Output) -> i32 {
+    o.status.code().expect("it ended by itself")
+}
+
+fn text(bytes: &[u8]) -> String {
+    String::from_utf8_lossy(bytes).into_owned()
+}
+
+fn file(name: &str, content: &str) -> PathBuf {
+    let path = std::env::temp_dir().join(format!("chalkgap-test-{}-{name}", std::process::id()));
+    std::fs::write(&path, content).unwrap();
+    path
+}
+
+/// Starts a command and reads the address from its first line.
+fn start(args: &[&str], field: &str) -> (Child, String) {
+    let mut child = chalkgap().args(args).stdout(Stdio::piped()).stderr(Stdio::null()).spawn().unwrap();
+    let line = BufReader::new(child.stdout.take().unwrap()).lines().next().unwrap().unwrap();
+    let value: serde_json::Value = serde_json::from_str(&line).unwrap();
+    (child, value[field].as_str().unwrap().to_owned())
+}
+
+const SETTINGS: &str = r#"
+settings = {
+    "fleet": {"ingresses": 1, "me": 0, "zones": ["a"], "zone": "a"},
+    "front": {"listen": "127.0.0.1:0"},
+    "classes": [{"name": "sig-check", "aim_ms": 1000, "deadline_ms": 4000, "repeat": "safe"}],
+    "plans": [{"name": "starter", "rate": 0.1, "burst": 2.0}],
+    "accounts": {"one": {"plan": "starter"}},
+    "rules": {"drain_grace_ms": 2000, "cold_from": 0.2, "cold_ms": 0, "fall_factor": 3.0, "fall_ms": 2000},
+    "nodes": {"source": {"file": {"path": given["list"]}}},
+}
+"#;
+
+#[test]
+fn complaints_say_what_where_and_what_is_allowed() {
+    let cases = [
+        (
+            SETTINGS.replace("\"burst\": 2.0", "\"burst\": -2.0"),
+            "settings.plans[0].burst: lower than 0, found -2.0",
+        ),
+        (
+            SETTINGS.replace("\"me\": 0", "\"me\": 1"),
+            "settings.fleet.me: expected less than the 1 ingresses, found 1",
+        ),
+        (SETTINGS.replace("\"me\": 0", "\"my\": 0"), "settings.fleet.my: unknown field `my`"),
+        (
+            SETTINGS.replace("\"plan\": \"starter\"", "\"plan\": \"x\""),
+            "settings.accounts.one.plan: \"x\" is none of starter",
+        ),
+        (
+            SETTINGS.replace("\"zone\": \"a\"", "\"zone\": 7"),
+            "settings.fleet.zone: invalid type: number, expected a string, found 7",
+        ),
+        (SETTINGS.replace("settings = {", "settings = {{"), ":"),
+        ("other = 1".into(), "expected the script to bind `settings`"),
+        ("load(\"x\", \"y\")".into(), ""),
+        ("settings = [x for x in range(1000000000)]".into(), ""),
+        ("def f(): f()\nf()\nsettings = {}".into(), ""),
+    ];
+    for (n, (script, expected)) in cases.iter().enumerate() {
+        let path = file(&format!("bad-{n}.star"), script);
+        let out = run(&["check", path.to_str().unwrap(), "--set", "list=x"]);
+        assert_eq!(code(&out), 3, "case {n}: {}", text(&out.stderr));
+        let said = text(&out.stderr);
+        assert!(said.contains(expected) && said.contains("bad-"), "case {n}: {said}");
+        std::fs::remove_file(path).unwrap();
+    }
+    assert_eq!(code(&run(&["check", "/nonexistent.star"])), 4);
+    assert_eq!(code(&run(&["check"])), 2);
+}
+
+#[test]
+fn schema_and_completions() {
+    let schema: serde_json::Value = serde_json::from_slice(&run(&["schema"]).stdout).unwrap();
+    assert_eq!(schema["properties"]["classes"]["type"], "array");
+    assert!(text(&run(&["completions", "bash"]).stdout).contains("chalkgap"));
+}
+
+#[test]
+fn asked_by_hand() {
+    let (mut node, address) = start(&["standin", "node", "--work", "sig-check=1"], "node");
+    let list = file("list.json", &format!(r#"{{"nodes": [{{"address": "{address}", "zone": "a"}}]}}"#));
+    let settings = file("good.star", SETTINGS);
+    let given = format!("list={}", list.display());
+    let serve = ["serve", settings.to_str().unwrap(), "--set", &given];
+    assert_eq!(code(&run(&["check", settings.to_str().unwrap(), "--set", &given])), 0);
+    let (mut ingress, grpc) = start(&serve, "grpc");
+    let ask = |account: &str| run(&["ask", &grpc, "--account", account, "--class", "sig-check", "--json"]);
+    // The list is read a moment after the start; until then there is no place for a request.
+    let first = (0..50).map(|_| ask("one")).find(|o| code(o) == 0);
+    let line: serde_json::Value = serde_json::from_slice(&first.expect("served").stdout).unwrap();
+    assert_eq!(line["answer"], "Served");
+    assert!(line["body"].as_str().unwrap().starts_with("done"));
+    let refused = (0..4).map(|_| ask("one")).find(|o| code(o) == 10).expect("past its store");
+    assert!(text(&refused.stdout).contains("retry-after"));
+    let unknown = ask("two");
+    assert_eq!((code(&unknown), text(&unknown.stdout).contains("is not known")), (1, true));
+    // Drained by the first signal, it ends by itself and well.
+    let term = Command::new("kill").args(["-TERM", &ingress.id().to_string()]).status().unwrap();
+    assert!(term.success());
+    assert_eq!(ingress.wait().unwrap().code(), Some(0));
+    assert_eq!(code(&run(&["ask", &grpc, "--account", "one", "--class", "sig-check"])), 11);
+    node.kill().unwrap();
+    node.wait().unwrap();
+    std::fs::remove_file(list).unwrap();
+    std::fs::remove_file(settings).unwrap();
+}
--- /dev/null
+++ b/crates/cli/tests/scenarios.rs
@@ -0,0 +1,35 @@
+//! The same scenarios against the library in this process and against the daemon's processes, unchanged.
+
+use chalkgap::runtime::system::System;
+use chalkgap_lab::audit::Verdict;
+use chalkgap_lab::day::Day;
+use chalkgap_lab::drill::{play, Home};
+
+fn homes() -> [Home; 2] {
+    [Home::Here, Home::Processes(env!("CARGO_BIN_EXE_chalkgap").into())]
+}
+
+fn run(script: &str, home: Home) -> Verdict {
+    let day = Day::read("day.star", script.into(), &[]).expect("a good day");
+    let system = System::new();
+    system.threads(1);
+    system.clone().run(play(system, day, home)).expect("a day that can be played")
+}
+
+#[test]
+fn the_short_day_keeps_the_rules() {
+    for home in homes() {
+        let v = run(include_str!("../../lab/days/short.star"), home.clone());
+        assert!(v.violations.is_empty(), "{home:?}: {:#?}", v.violations);
+        assert!(v.calls > 800 && v.served > 500 && v.refused > 20, "{home:?}: a day of some traffic: {v:?}");
+    }
+}
+
+#[test]
+fn decisions_are_counted_alike() {
+    let verdicts = homes().map(|home| run(include_str!("../../lab/days/counted.star"), home));
+    for v in &verdicts {
+        assert!(v.violations.is_empty(), "{:#?}", v.violations);
+        assert_eq!((v.calls, v.served, v.refused), (144, 6 * 4 + 6 * 9, 144 - 78), "{v:?}");
+    }
+}
--- a/crates/gateway/src/sources.rs
+++ b/crates/gateway/src/sources.rs
@@ -103,7 +103,7 @@
     driver: Sender<Input>,
     alive: Receiver<()>,
 ) {
-    let (mut pause, mut revision) = (AGAIN.0, 0);
+    let (mut pause, mut revision, mut told) = (AGAIN.0, 0, false);
     loop {
         let before = revision;
         let why = follow(&runtime, ingress, address, &driver, &alive, &mut revision).await;
@@ -111,10 +111,13 @@
             return;
         }
         if revision != before {
-            pause = AGAIN.0;
+            (pause, told) = (AGAIN.0, false);
         }
         add(&telemetry.lists_bad);
-        tracing::warn!(roster = %address, error = why, revision, "no news of nodes, the last list stays");
+        if !std::mem::replace(&mut told, true) {
+            // Once for each time that it is lost: the calls that fail after it say nothing new.
+            tracing::warn!(roster = %address, error = why, revision, "no news of nodes, the last list stays");
+        }
         // Between half and the whole of it by lot: ingresses that lost it together do not come back together.
         let lot = runtime.random() % (pause / 2);
         runtime.sleep_until(runtime.now() + pause / 2 + lot).await;
--- /dev/null
+++ b/crates/lab/benches/ingress.rs
@@ -0,0 +1,480 @@
+//! The running ingress against a tonic server that answers at once, in one run on one machine: throughput, CPU a
+//! request, latency under an open loop, memory of connections and streams. Servers run in processes of their own, so
+//! that their CPU and memory are the system's word; times are ratios within this run, not promises.
+//!
+//! `cargo bench -p chalkgap-lab --bench ingress [-- --seconds N]`
+
+use bytes::Bytes;
+use chalkgap::nodes::{Node as Line, NodeList, State};
+use chalkgap::runtime::{system::System, Runtime, Shared};
+use chalkgap::settings;
+use chalkgap::Instance;
+use chalkgap_core as core;
+use chalkgap_pipe::{Pipe, Turn};
+use chalkgap_standin::journal::Journal;
+use chalkgap_standin::node::{Faults, Machine, Node};
+use chalkgap_wire::grpc;
+use chalkgap_wire::http2::{Config, Connection, Event, Field};
+use chalkgap_wire::ratelimit::{
+    Descriptor, Entry, RateLimitRequest, RateLimitResponse, Verdict, SHOULD_RATE_LIMIT,
+};
+use std::collections::HashMap;
+use std::future::Future;
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::process::{Child, Command, Stdio};
+use std::sync::{Arc, Mutex};
+use std::task::{Context, Poll};
+use std::time::Instant;
+
+const SETTINGS: &str = r#"
+settings = {
+    "fleet": {"ingresses": 1, "me": 0, "zones": ["a"], "zone": "a"},
+    "front": {"listen": "127.0.0.1:0", "max_streams": 2000, "max_connections": 20000},
+    "classes": [{"name": "c", "aim_ms": 5000, "deadline_ms": 10000, "repeat": "safe"}],
+    "plans": [{"name": "none", "rate": 0.000001, "burst": 1.0}, {"name": "all", "rate": 1e8, "burst": 1e8}],
+    "accounts": {"none": {"plan": "none"}, "all": {"plan": "all"}},
+    "limits": {"max_open": 500000},
+    "upstream": {"connections": 4, "max_streams": 2000},
+    "rules": {"drain_grace_ms": 2000, "cold_from": 0.2, "cold_ms": 0, "fall_factor": 3.0, "fall_ms": 2000},
+    "nodes": {"source": "handle"},
+}
+"#;
+
+// ---- servers, each in a process of its own ----
+
+#[derive(Clone)]
+struct AtOnce;
+
+impl tonic::server::UnaryService<RateLimitRequest> for AtOnce {
+    type Response = RateLimitResponse;
+    type Future =
+        Pin<Box<dyn Future<Output = Result<tonic::Response<RateLimitResponse>, tonic::Status>> + Send>>;
+
+    fn call(&mut self, _: tonic::Request<RateLimitRequest>) -> Self::Future {
+        let answer = RateLimitResponse { overall_code: Verdict::OverLimit.into(), ..Default::default() };
+        Box::pin(std::future::ready(Ok(tonic::Response::new(answer))))
+    }
+}
+
+impl tonic::server::NamedService for AtOnce {
+    const NAME: &'static str = "envoy.service.ratelimit.v3.RateLimitService";
+}
+
+impl tonic::codegen::Service<http::Request<tonic::body::Body>> for AtOnce {
+    type Response = http::Response<tonic::body::Body>;
+    type Error = std::convert::Infallible;
+    type Future = Pin<Box<dyn Future<Output = Result<Self::Response, Self::Error>> + Send>>;
+
+    fn poll_ready(&mut self, _: &mut Context<'_>) -> Poll<Result<(), Self::Error>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn call(&mut self, request: http::Request<tonic::body::Body>) -> Self::Future {
+        Box::pin(async move {
+            let codec = tonic_prost::ProstCodec::default();
+            Ok(tonic::server::Grpc::new(codec).unary(AtOnce, request).await)
+        })
+    }
+}
+
+use tonic::codegen::http;
+
+fn tonic_server() {
+    tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap().block_on(async {
+        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+        println!("{}", listener.local_addr().unwrap());
+        let incoming = tokio_stream::wrappers::TcpListenerStream::new(listener);
+        let server = tonic::transport::Server::builder().max_concurrent_streams(2000).tcp_nodelay(true);
+        let mut server = server;
+        server.add_service(AtOnce).serve_with_incoming(incoming).await.unwrap();
+    });
+}
+
+fn node_server(hang: bool) {
+    let system = System::new();
+    let node = Node::start(
+        system.clone(),
+        ([127, 0, 0, 1], 0).into(),
+        Machine { cores: 100_000, ..Machine::default() },
+        Journal::nowhere(),
+    );
+    let node = node.unwrap();
+    node.faults(Faults { hang, ..Faults::default() });
+    println!("{}", node.address());
+    system.run(std::future::pending::<()>());
+}
+
+fn ingress_server(node: Option<SocketAddr>) {
+    let system = System::new();
+    system.clone().run(async move {
+        let settings = settings::read("bench", SETTINGS.into(), &[]).unwrap();
+        let ingress = Instance::start(settings, system.clone()).await.unwrap();
+        let line = |address| Line {
+            address,
+            zone: "a".into(),
+            cell: String::new(),
+            kind: String::new(),
+            state: State::Ready,
+            size: 1.0,
+            started_ms: 0,
+        };
+        ingress.nodes(NodeList { revision: 1, nodes: node.into_iter().map(line).collect() }).await;
+        println!("{}", ingress.grpc_address());
+        std::future::pending::<()>().await;
+    });
+}
+
+struct Server {
+    child: Child,
+    address: SocketAddr,
+}
+
+impl Server {
+    fn start(args: &[&str]) -> Server {
+        let mut child = Command::new(std::env::current_exe().unwrap())
+            .args(args)
+            .stdout(Stdio::piped())
+            .spawn()
+            .expect("this program again");
+        let line = BufReader::new(child.stdout.take().unwrap()).lines().next().unwrap().unwrap();
+        Server { child, address: line.parse().unwrap() }
+    }
+
+    /// CPU seconds so far: user and system, in ticks of a hundredth.
+    fn cpu(&self) -> f64 {
+        let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.child.id())).unwrap();
+        let rest: Vec<&str> = stat.rsplit(')').next().unwrap().split_whitespace().collect();
+        (rest[11].parse::<f64>().unwrap() + rest[12].parse::<f64>().unwrap()) / 100.0
+    }
+
+    /// Resident kilobytes.
+    fn memory(&self) -> f64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
+        let line = status.lines().find(|l| l.starts_with("VmRSS:")).unwrap();
+        line.split_whitespace().nth(1).unwrap().parse().unwrap()
+    }
+}
+
+impl Drop for Server {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+// ---- load ----
+
+fn message(account: &str) -> Bytes {
+    let entry = |key: &str, value: &str| Entry { key: key.into(), value: value.into() };
+    let entries = vec![entry("account", account), entry("class", "c")];
+    let descriptors = vec![Descriptor { entries, hits_addend: None }];
+    grpc::frame(&RateLimitRequest { domain: "d".into(), descriptors, hits_addend: 1 })
+}
+
+fn fields(to: SocketAddr) -> Vec<Field> {
+    vec![
+        Field::constant(":method", "POST"),
+        Field::constant(":scheme", "http"),
+        Field::constant(":path", SHOULD_RATE_LIMIT),
+        Field::new(":authority", to.to_string()),
+        Field::constant("content-type", "application/grpc"),
+        Field::constant("te", "trailers"),
+        Field::constant("grpc-timeout", "8S"),
+    ]
+}
+
+#[derive(Default)]
+struct Load {
+    done: u64,
+    bad: u64,
+    times: Vec<u64>,
+}
+
+/// One connection's load until a time. `gap`: an arrival each so many microseconds, whatever is still open; none:
+/// `window` calls are kept open.
+async fn drive(
+    runtime: Shared,
+    to: SocketAddr,
+    account: &'static str,
+    gap: Option<f64>,
+    window: usize,
+    end: u64,
+    result: Arc<Mutex<Load>>,
+) {
+    let stream = runtime.connect(to).await.unwrap();
+    let (_commands, none) = async_channel::bounded::<()>(1);
+    let (_keep, signal) = async_channel::bounded(1);
+    let conn = Connection::client(Config { max_streams: 0, ..Config::default() });
+    let mut pipe = Pipe::new(runtime.clone(), stream, conn, none, signal);
+    let (message, fields) = (message(account), fields(to));
+    let mut open: HashMap<u32, u64> = HashMap::new();
+    let (mut load, mut next) = (Load::default(), runtime.now() as f64);
+    loop {
+        let now = runtime.now();
+        if now >= end && (open.is_empty() || now > end + 2_000_000) {
+            break;
+        }
+        while pipe.conn.greeted() && now < end && pipe.conn.can_open().is_ok() {
+            // Open loop: timed from when it was to be sent, so that a queue here counts as well.
+            let at = match gap {
+                Some(gap) if next <= now as f64 => {
+                    let at = next as u64;
+                    next += gap;
+                    at
+                }
+                None if open.len() < window => now,
+                _ => break,
+            };
+            let id = pipe.conn.open(&fields, false).unwrap();
+            pipe.conn.data(id, message.clone(), true).unwrap();
+            open.insert(id, at);
+        }
+        let until = if now >= end { end + 2_000_000 } else { gap.map_or(end, |_| (next as u64).min(end)) };
+        if let Turn::Closed | Turn::Bad(_) = pipe.turn(Some(until), true).await {
+            load.bad += open.len() as u64;
+            break;
+        }
+        while let Some(event) = pipe.conn.event() {
+            match event {
+                Event::Data { stream, data, .. } => pipe.conn.consumed(stream, data.len()),
+                Event::Headers { stream, fields, end: true } => {
+                    if let Some(at) = open.remove(&stream) {
+                        load.done += 1;
+                        load.times.push(runtime.now() - at);
+                        load.bad +=
+                            u64::from(!fields.iter().any(|f| f.name == "grpc-status" && f.value == "0"));
+                    }
+                }
+                Event::Reset { stream, .. } => load.bad += u64::from(open.remove(&stream).is_some()),
+                _ => {}
+            }
+        }
+    }
+    let mut all = result.lock().unwrap();
+    all.done += load.done;
+    all.bad += load.bad;
+    all.times.extend(load.times);
+}
+
+struct Row {
+    rate: f64,
+    cpu_us: f64,
+    times: [f64; 3],
+    bad: u64,
+}
+
+/// Loads a server over `connections`; `rate` none: as much as it takes, 64 calls open on each.
+fn load(
+    system: &Arc<System>,
+    server: &Server,
+    account: &'static str,
+    connections: usize,
+    rate: Option<f64>,
+    seconds: f64,
+) -> Row {
+    let result = Arc::new(Mutex::new(Load::default()));
+    let (cpu, begun) = (server.cpu(), Instant::now());
+    let end = system.now() + (seconds * 1e6) as u64;
+    let runtime: Shared = system.clone();
+    system.clone().run(async {
+        let gap = rate.map(|r| 1e6 * connections as f64 / r);
+        let task = |_| {
+            let task = drive(runtime.clone(), server.address, account, gap, 64, end, result.clone());
+            runtime.spawn(Box::pin(task))
+        };
+        let tasks: Vec<_> = (0..connections).map(task).collect();
+        for t in tasks {
+            t.await;
+        }
+    });
+    let (spent, cpu) = (begun.elapsed().as_secs_f64().min(seconds), server.cpu() - cpu);
+    let mut all = result.lock().unwrap();
+    all.times.sort_unstable();
+    let at = |share: f64| {
+        let n = (all.times.len() as f64 * share) as usize;
+        all.times.get(n.min(all.times.len().max(1) - 1)).copied().unwrap_or(0) as f64
+    };
+    let times = [at(0.5), at(0.99), at(0.999)];
+    Row { rate: all.done as f64 / spent, cpu_us: cpu * 1e6 / all.done.max(1) as f64, times, bad: all.bad }
+}
+
+/// Memory that `count` idle connections, and then `streams` open calls on some of them, take at a server.
+fn memory(system: &Arc<System>, server: &Server, count: usize, streams: usize) -> (f64, f64) {
+    let runtime: Shared = system.clone();
+    system.clone().run(async {
+        let before = server.memory();
+        let mut pipes = Vec::new();
+        for _ in 0..count {
+            let stream = runtime.connect(server.address).await.unwrap();
+            let (commands, none) = async_channel::bounded::<()>(1);
+            let (keep, signal) = async_channel::bounded(1);
+            let conn = Connection::client(Config { max_streams: 0, ..Config::default() });
+            let mut pipe = Pipe::new(runtime.clone(), stream, conn, none, signal);
+            while !pipe.conn.greeted() {
+                pipe.turn(None, true).await;
+            }
+            pipes.push((pipe, commands, keep));
+        }
+        runtime.sleep_until(runtime.now() + 300_000).await;
+        let idle = server.memory();
+        let (message, fields) = (message("all"), fields(server.address));
+        for n in 0..streams {
+            let (pipe, ..) = &mut pipes[n % 20];
+            let id = pipe.conn.open(&fields, false).unwrap();
+            pipe.conn.data(id, message.clone(), true).unwrap();
+            pipe.turn(Some(0), false).await;
+        }
+        runtime.sleep_until(runtime.now() + 500_000).await;
+        ((idle - before) / count as f64, (server.memory() - idle) / streams.max(1) as f64)
+    })
+}
+
+// ---- shares ----
+
+/// Microseconds of the module for one request with its answer, by the number of accounts.
+fn module(accounts: u64) -> f64 {
+    let compiled = settings::Compiled::new(settings::read("bench", SETTINGS.into(), &[]).unwrap()).unwrap();
+    let mut gateway = core::Gateway::new(compiled.core(), 1, 1_000_000);
+    let mut act = Vec::new();
+    let backend = core::BackendId(1);
+    let line = core::Listed { backend, size: 1.0, ..core::Listed::default() };
+    gateway.handle(1_000_000, core::Event::Roster(core::RosterKind::Full, vec![line]), &mut act);
+    let (count, mut now) = (200_000u64, 1_000_000);
+    let begun = Instant::now();
+    for n in 0..count {
+        now += 20;
+        let id = core::RequestId(n + 1);
+        let request = core::Request {
+            id,
+            plan: 1,
+            customer: core::CustomerId(n * 7919 % accounts),
+            deadline: now + 8_000_000,
+            units: 1.0,
+            width: 1.0,
+            ..core::Request::default()
+        };
+        act.clear();
+        gateway.handle(now, core::Event::Request(request), &mut act);
+        if act.iter().any(|a| matches!(a, core::Action::Send { .. })) {
+            let settled = core::Event::Settled {
+                id,
+                attempt: 0,
+                backend,
+                outcome: core::Outcome::Ok,
+                complete: true,
+                took: 500,
+                metered: None,
+                charged: None,
+                report: None,
+            };
+            act.clear();
+            gateway.handle(now + 10, settled, &mut act);
+        }
+    }
+    begun.elapsed().as_secs_f64() * 1e6 / count as f64
+}
+
+/// Microseconds of the wire for one call, both sides in memory; a server's part is about half of it.
+fn wire() -> f64 {
+    let (mut c, mut s) = (Connection::client(Config::default()), Connection::server(Config::default()));
+    let (message, fields) = (message("all"), fields(([127, 0, 0, 1], 80).into()));
+    let head = vec![Field::constant(":status", "200"), Field::constant("content-type", "application/grpc")];
+    let answer = grpc::frame(&RateLimitResponse { overall_code: 1, ..Default::default() });
+    let move_bytes = |a: &mut Connection, b: &mut Connection| {
+        let bytes = a.output().split();
+        b.receive(0, &bytes).unwrap();
+    };
+    move_bytes(&mut c, &mut s);
+    move_bytes(&mut s, &mut c);
+    let (rounds, calls) = (5000, 20);
+    let begun = Instant::now();
+    for _ in 0..rounds {
+        let ids: Vec<u32> = (0..calls)
+            .map(|_| {
+                let id = c.open(&fields, false).unwrap();
+                c.data(id, message.clone(), true).unwrap();
+                id
+            })
+            .collect();
+        move_bytes(&mut c, &mut s);
+        while let Some(e) = s.event() {
+            if let Event::Data { stream, data, .. } = e {
+                s.consumed(stream, data.len());
+            }
+        }
+        for id in ids {
+            s.headers(id, head.clone(), false).unwrap();
+            s.data(id, answer.clone(), false).unwrap();
+            s.headers(id, vec![Field::constant("grpc-status", "0")], true).unwrap();
+        }
+        move_bytes(&mut s, &mut c);
+        while let Some(e) = c.event() {
+            if let Event::Data { stream, data, .. } = e {
+                c.consumed(stream, data.len());
+            }
+        }
+    }
+    begun.elapsed().as_secs_f64() * 1e6 / f64::from(rounds * calls)
+}
+
+fn main() {
+    let args: Vec<String> = std::env::args().skip(1).filter(|a| a != "--bench").collect();
+    match args.first().map(String::as_str) {
+        Some("tonic") => return tonic_server(),
+        Some("node") => return node_server(args.get(1).is_some()),
+        Some("ingress") => return ingress_server(args.get(1).map(|a| a.parse().unwrap())),
+        _ => {}
+    }
+    let seconds = args.iter().position(|a| a == "--seconds").and_then(|n| args.get(n + 1)?.parse().ok());
+    let seconds: f64 = seconds.unwrap_or(4.0);
+    let system = System::new();
+    system.threads(1);
+    let tonic = Server::start(&["tonic"]);
+    let node = Server::start(&["node"]);
+    let refusing = Server::start(&["ingress"]);
+    let whole = Server::start(&["ingress", &node.address.to_string()]);
+    let servers = [
+        ("tonic, answers at once", &tonic, "none"),
+        ("ingress, refuses", &refusing, "none"),
+        ("ingress and node", &whole, "all"),
+    ];
+    let row = |name: &str, r: &Row, base: &Row| {
+        let [a, b, c] = r.times.map(|t| t / 1000.0);
+        println!(
+            "| {name} | {:.0} | {:.2} | {:.1} | {:.2} | {a:.2} / {b:.2} / {c:.2} | {} |",
+            r.rate,
+            r.rate / base.rate,
+            r.cpu_us,
+            r.cpu_us / base.cpu_us,
+            r.bad
+        );
+    };
+    let head = "| server | calls a second | to tonic's | CPU us a call | to tonic's | p50 / p99 / p99.9 ms | bad |\n| --- | --- | --- | --- | --- | --- | --- |";
+    for connections in [1, 16, 100] {
+        println!("\nAs much as it takes: {connections} connections, 64 calls open on each\n\n{head}");
+        let rows: Vec<Row> =
+            servers.iter().map(|s| load(&system, s.1, s.2, connections, None, seconds)).collect();
+        servers.iter().zip(&rows).for_each(|(s, r)| row(s.0, r, &rows[0]));
+    }
+    for (connections, rate) in [(16, 2000.0), (16, 5000.0), (1000, 5000.0)] {
+        println!("\nOpen loop: {rate} calls a second over {connections} connections\n\n{head}");
+        let rows: Vec<Row> =
+            servers.iter().map(|s| load(&system, s.1, s.2, connections, Some(rate), seconds)).collect();
+        servers.iter().zip(&rows).for_each(|(s, r)| row(s.0, r, &rows[0]));
+    }
+    let hanging = Server::start(&["node", "hang"]);
+    let held = Server::start(&["ingress", &hanging.address.to_string()]);
+    let (idle, stream) = memory(&system, &held, 1000, 10_000);
+    let (tonic_idle, _) = memory(&system, &Server::start(&["tonic"]), 1000, 0);
+    println!(
+        "\nMemory: {idle:.1} KiB an idle connection (tonic {tonic_idle:.1}), {stream:.2} KiB an open call"
+    );
+    let (m, w) = ([100, 10_000, 100_000].map(module), wire());
+    println!(
+        "\nModule, a request with its answer: {:.2} / {:.2} / {:.2} us with 100 / 10,000 / 100,000 accounts",
+        m[0], m[1], m[2]
+    );
+    println!("Wire, a call in memory, both sides: {w:.2} us");
+}
--- /dev/null
+++ b/crates/lab/days/counted.star
@@ -0,0 +1,25 @@
+# A day whose decisions can be counted beforehand: stores that all but never fill, each account at one ingress, its
+# requests one after the other. Whoever plays it, each account has as many served as its store holds.
+
+day = {
+    "seed": int(given.get("seed", "1")),
+    "seconds": 0.2,
+    "ingresses": 3,
+    "zones": ["a"],
+    "settings": {
+        "front": {"answer_margin_ms": 40},
+        "classes": [{"name": "sig-check", "aim_ms": 2000, "deadline_ms": 6000, "repeat": "safe"}],
+        "plans": [
+            {"name": "four", "rate": 0.0001, "burst": 4.0},
+            {"name": "nine", "rate": 0.0001, "burst": 9.0},
+        ],
+        "rules": {"drain_grace_ms": 300, "cold_from": 0.2, "cold_ms": 0, "fall_factor": 4.0, "fall_ms": 1000},
+    },
+    "nodes": [{"count": 3, "cores": 8}],
+    "work_ms": {"sig-check": 1.0},
+    "accounts": [
+        {"name": "four", "plan": "four", "count": 6, "fixed": 12, "width": 1, "classes": {"sig-check": 1.0}},
+        {"name": "nine", "plan": "nine", "count": 6, "fixed": 12, "width": 1, "classes": {"sig-check": 1.0}},
+    ],
+    "clients": {"retries": 0, "patience": 0.9},
+}
--- a/crates/standin/src/journal.rs
+++ b/crates/standin/src/journal.rs
@@ -113,12 +113,19 @@
 
 /// A journal that many write to.
 #[derive(Clone, Default)]
-pub struct Journal(Arc<Mutex<Vec<Entry>>>);
+pub struct Journal(Arc<Mutex<Vec<Entry>>>, bool);
 
 impl Journal {
+    /// A journal that keeps nothing, for load without end.
+    pub fn nowhere() -> Journal {
+        Journal(Arc::default(), true)
+    }
+
     /// Writes an entry.
     pub fn note(&self, at: Micros, seen: Seen) {
-        self.lock().push((at, seen));
+        if !self.1 {
+            self.lock().push((at, seen));
+        }
     }
 
     /// All entries so far, by time.
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -7,4 +7,5 @@
 pub mod journal;
 pub mod network;
 pub mod node;
+pub mod rogue;
 pub mod roster;
