Module on a real clock and load: start times that come round, sends kept in order of time

Start times in messages come round every 50 days: a peer that restarted after that was never heard again; compared by their difference now, with a test that fails without it. Each send walked over all sends of the last seconds: 124 us a request at 50,000 a second; the same decisions without the walk. A client's idle connection took 350 KiB, most of it room for answers made beforehand: gone.

--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -511,7 +511,10 @@
         if let Some(b) = self.backends.get_mut(&bid) {
             o.attempts.push(Attempt { to: b.listed, sent: now, out: true, cancelled: false, void: false });
             b.out += 1;
-            b.cold_sends.retain(|t| *t + self.s.rules.fall_time > now);
+            // Oldest first: a walk over all of them, at each send, would grow with the square of the load.
+            while b.cold_sends.front().is_some_and(|t| *t + self.s.rules.fall_time <= now) {
+                b.cold_sends.pop_front();
+            }
             b.cold_sends.push_back(now);
         }
         act.push(Action::Send { id, backend: bid, expires: 0 });
@@ -817,10 +820,10 @@
         if from == self.s.me || from.0 >= self.s.gateways {
             return;
         }
-        self.elders |= m.born.saturating_add(ELDER) < mine;
+        self.elders |= later(mine, m.born.wrapping_add(ELDER));
         let peer = self.peers.entry(from.0).or_default();
         if peer.born != m.born {
-            if m.born < peer.born {
+            if peer.born != 0 && later(peer.born, m.born) {
                 return; // from before its restart
             }
             (peer.born, peer.seq) = (m.born, m.seq.wrapping_sub(1));
@@ -846,7 +849,7 @@
         }
         match m.body {
             Body::Uses(uses) => {
-                let news = uses.into_iter().filter_map(|u| self.on_use(from.0, m.born >= mine, u));
+                let news = uses.into_iter().filter_map(|u| self.on_use(from.0, !later(mine, m.born), u));
                 let news: Vec<News> = news.collect();
                 if !news.is_empty() {
                     self.post(from.0, Body::News(m.born, news), act);
--- a/crates/core/src/gossip.rs
+++ b/crates/core/src/gossip.rs
@@ -107,6 +107,12 @@
     (born / 1000) as u32
 }
 
+/// Whether one start was after another. The numbers come round every 50 days: a fleet that runs on the clock on the
+/// wall would else never again hear a peer that restarts after that.
+pub fn later(one: u32, other: u32) -> bool {
+    (one.wrapping_sub(other) as i32) > 0
+}
+
 /// The total as messages carry it.
 pub fn wrap(units: f64) -> u16 {
     ((units * PARTS).round() as i64) as u16
--- a/crates/core/tests/control.rs
+++ b/crates/core/tests/control.rs
@@ -505,6 +505,38 @@
     assert!(refused(&rig.ask(0, 1, 9, 3.0).1));
 }
 
+/// Start times come round every 2^32 ms: a peer that restarts just after that is heard, and its earlier life is not.
+#[test]
+fn a_restart_is_later_where_start_times_come_round() {
+    let round: Micros = (1 << 32) * 1000;
+    let start = |me: u16, now: Micros| {
+        let gateway = Gateway::new(Settings { me: GatewayNo(me), ..settings() }, 7, now);
+        let mut rig = Rig { gateway, now, next: 0 };
+        rig.feed(Event::Roster(RosterKind::Cached, (0..4).map(listed).collect()));
+        rig
+    };
+    let told = |rig: &mut Rig, units: f64| {
+        let asked = rig.ask(0, 1, 9, units).1;
+        let actions = asked.into_iter().chain(rig.pass(300_000));
+        actions.filter_map(|a| if let Action::Tell { bytes, .. } = a { Some(bytes) } else { None }).collect()
+    };
+    let mut rig = start(0, round - 30 * S);
+    let mut earlier = start(1, round - 25 * S);
+    let mut again = start(1, round + S);
+    let before: Vec<Vec<u8>> = told(&mut earlier, 0.5);
+    rig.pass(25 * S);
+    rig.feed(Event::Peer { from: GatewayNo(1), bytes: before[0].clone() });
+    rig.pass(6 * S);
+    rig.ask(0, 1, 9, 0.5);
+    let after: Vec<Vec<u8>> = told(&mut again, 1.0);
+    for bytes in after.iter().chain(&before) {
+        rig.feed(Event::Peer { from: GatewayNo(1), bytes: bytes.clone() });
+    }
+    // Of 6 units, half a one went here and one there: the restarted peer's use counts.
+    assert!(refused(&rig.ask(0, 1, 9, 5.0).1));
+    assert!(!refused(&rig.ask(0, 1, 9, 3.5).1));
+}
+
 #[test]
 fn hostile_input_gets_one_harmless_answer_or_none() {
     let mut rig = Rig::with(settings(), 2);
--- a/crates/gateway/src/front/grpc.rs
+++ b/crates/gateway/src/front/grpc.rs
@@ -99,7 +99,8 @@
     let front = &door.settings.settings.front;
     let (most, patience, peer) = (2 * front.max_streams as usize, front.patience_ms * 1000, stream.peer());
     let config = Config { max_streams: front.max_streams, ..Config::default() };
-    let (reply, replies) = async_channel::bounded(most);
+    // As many as `unheard` allows, below: room made beforehand would cost an idle connection its hundreds of KiB.
+    let (reply, replies) = async_channel::unbounded();
     let runtime = door.runtime.clone();
     let begun = runtime.now();
     let mut pipe =
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -94,9 +94,10 @@
         let number = match pool.iter().filter(open).min_by_key(|n| links[*n].out) {
             Some(n) => *n,
             None if usable < connections && pool.len() < 2 * connections => {
-                let (n, room) = (self.next, 2 * most + 2); // a start and a stop for each, and two more words
+                let n = self.next;
                 self.next += 1;
-                let (commands, receiver) = async_channel::bounded(room);
+                // A start and a stop for each of the calls that `out` allows, and the word to close.
+                let (commands, receiver) = async_channel::unbounded();
                 let usable = Arc::new(AtomicBool::new(true));
                 let task = run(self.world.clone(), address, receiver, usable.clone(), self.kill.clone());
                 let kill = self.kill.clone();
