--- a/crates/cli/src/drill.rs
+++ b/crates/cli/src/drill.rs
@@ -80,6 +80,7 @@
     println!("  failed         {:>8}   by gRPC status: {:?}", failed, v.failed);
     println!("  not taken      {:>8}", v.not_taken);
     println!("  lost with a killed ingress {}", v.lost_with_ingress);
+    println!("  late by a stall of the ingress {}", v.stalled);
     println!("  too little time to judge   {}", v.hopeless);
     println!("attempts         {:>8}", v.attempts);
     println!("units sent on    {:>8.0}   beyond their quota {:.0}", v.units, v.beyond_quota);
--- a/crates/gateway/tests/interop.rs
+++ b/crates/gateway/tests/interop.rs
@@ -254,6 +254,32 @@
     });
 }
 
+/// A node whose window never opens takes the call's head and none of its body: it ends by its time, as a failure.
+#[test]
+fn a_window_that_never_opens() {
+    let (sender, receiver) = std::sync::mpsc::channel();
+    std::thread::spawn(move || {
+        tokio(async {
+            let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+            sender.send(listener.local_addr().unwrap()).unwrap();
+            let (tcp, _) = listener.accept().await.unwrap();
+            let mut server = h2::server::Builder::new();
+            let mut connection: h2::server::Connection<_, Bytes> =
+                server.initial_window_size(0).handshake(tcp).await.unwrap();
+            let mut held = Vec::new();
+            while let Some(Ok(call)) = connection.accept().await {
+                held.push(call);
+            }
+        });
+    });
+    let node = receiver.recv().unwrap();
+    common::run(|system| async move {
+        let (_ingress, client) = with_node(&system, node).await;
+        let asked = chalkgap_standin::client::Ask { timeout: 300_000, ..ask(1, "big", "referral") };
+        assert_eq!(client.call(&asked).await.answer, Answer::Failed { code: 4 });
+    });
+}
+
 /// A node that breaks off halfway through an answer: a keyed request goes out again, with the same key.
 #[test]
 fn halfway_through_a_report_upload() {
--- a/crates/lab/days/bad-day.star
+++ b/crates/lab/days/bad-day.star
@@ -62,6 +62,8 @@
         trouble("heavy_tail", 92.0, 6.0, share = 0.02, strength = 15.0),
         trouble("neighbour", 96.0, 6.0, which = [6], strength = 3.0),
         trouble("scan", 98.0, 6.0, strength = 20.0),
+        trouble("class_fail", 100.0, 3.0, which = [3, 5], group = "report-upload", strength = 0.8),
+        trouble("balancer_stall", 103.0, 1.2, which = [1]),
         trouble("zone_cut", 104.0, 6.0, which = [2]),
         trouble("balancer_roll", 112.0, 0.5, which = [2]),
     ],
--- a/crates/lab/src/day.rs
+++ b/crates/lab/src/day.rs
@@ -201,7 +201,7 @@
     #[serde(default = "one")]
     #[garde(range(min = 0.0, max = 1000.0))]
     pub strength: f64,
-    /// The group of accounts that it hits.
+    /// The group of accounts, or the class, that it hits.
     #[serde(default)]
     pub group: Option<String>,
 }
@@ -214,12 +214,16 @@
     BalancerCrash,
     /// Ingresses are drained and restarted, one after the other.
     BalancerRoll,
+    /// Ingresses stand still; only where they are processes of their own.
+    BalancerStall,
     /// Nodes take requests and answer none.
     Hang,
     /// Nodes take connections and say nothing at all.
     Mute,
     /// Nodes fail `strength` of their requests at once.
     FastErrors,
+    /// Nodes fail `strength` of the requests of the class `group` at once.
+    ClassFail,
     /// Nodes break off `strength` of their answers halfway.
     Halfway,
     /// Another program takes the machine: work takes `strength` times as long.
--- a/crates/lab/src/drill.rs
+++ b/crates/lab/src/drill.rs
@@ -526,6 +526,29 @@
                 self.pause(t.lasts).await;
                 all(&|f| f.fail = 0.0);
             }
+            Kind::ClassFail => {
+                let class = t.group.clone();
+                all(&|f| (f.fail, f.fail_class) = (t.strength, class.clone()));
+                self.pause(t.lasts).await;
+                all(&|f| (f.fail, f.fail_class) = (0.0, None));
+            }
+            Kind::BalancerStall => {
+                let pid = |n: &usize| match &lock(&self.slots)[*n].life {
+                    Life::Process(child) => Some((*n as u16, child.id())),
+                    _ => None,
+                };
+                let list: Vec<(u16, u32)> = self.which(t, ingresses, seed).iter().filter_map(pid).collect();
+                let signal = |name: &str, pid: u32| {
+                    let done = Command::new("kill").args([name, &pid.to_string()]).status();
+                    done.map(|_| ()).map_err(io_error("kill"))
+                };
+                let begun = self.runtime.now();
+                list.iter().try_for_each(|(_, pid)| signal("-STOP", *pid))?;
+                self.pause(t.lasts).await;
+                list.iter().try_for_each(|(_, pid)| signal("-CONT", *pid))?;
+                let until = self.runtime.now();
+                list.iter().for_each(|(n, _)| self.journal.note(begun, Seen::Stalled { ingress: *n, until }));
+            }
             Kind::Halfway => {
                 all(&|f| f.halfway = t.strength);
                 self.pause(t.lasts).await;
--- a/crates/runtime/src/system.rs
+++ b/crates/runtime/src/system.rs
@@ -4,6 +4,7 @@
 use async_executor::Executor;
 use async_io::{Async, Timer};
 use futures_lite::future;
+use socket2::{Domain, Protocol, Socket, Type};
 use std::fs;
 use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream, UdpSocket};
@@ -11,6 +12,9 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
+/// Connections that may wait to be accepted; the system may cut it to its own limit.
+const BACKLOG: i32 = 4096;
+
 /// The system's runtime. Its tasks run in [`System::run`] and on the threads of [`System::threads`].
 pub struct System {
     executor: Executor<'static>,
@@ -187,7 +191,13 @@
     }
 
     fn listen(&self, at: SocketAddr) -> io::Result<Box<dyn Listener>> {
-        let listener = Async::<TcpListener>::bind(at)?;
+        // The standard library's line of 128 is soon full when clients reconnect together; who finds it full tries
+        // again a second later.
+        let socket = Socket::new(Domain::for_address(at), Type::STREAM, Some(Protocol::TCP))?;
+        socket.set_reuse_address(true)?;
+        socket.bind(&at.into())?;
+        socket.listen(BACKLOG)?;
+        let listener = Async::new(TcpListener::from(socket))?;
         let address = listener.get_ref().local_addr()?;
         Ok(Box::new(TcpDoor { listener, address }))
     }
--- a/crates/standin/src/journal.rs
+++ b/crates/standin/src/journal.rs
@@ -101,6 +101,13 @@
         /// What the client found.
         what: String,
     },
+    /// An ingress's process was stopped, and went on at `until`.
+    Stalled {
+        /// The ingress.
+        ingress: u16,
+        /// When it went on.
+        until: Micros,
+    },
     /// An ingress was killed.
     Killed {
         /// The ingress.
