--- /dev/null
+++ b/crates/admission/src/decide.rs
@@ -0,0 +1,492 @@
+//! The decider.
+//!
+//! Memory: an entry for each address and prefix with a connection open (bounded by the budget), and at most
+//! [`Caps::remembered`] more for those that had one lately, whose only content is how many they opened. Of those the
+//! one seen longest ago is forgotten first: a flood from new addresses makes the others' past be forgotten, which is to
+//! their good. Who is known has a table of its own that a flood cannot reach.
+
+use crate::known::{plain, Block};
+use crate::{Budget, Known, Micros};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::IpAddr;
+
+/// A connection, as the caller names it: never used twice.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ConnId(pub u64);
+
+/// Limits.
+#[derive(Clone, Copy, Debug)]
+pub struct Caps {
+    /// Connections that an address may have open; a known one may have four times as many.
+    pub per_address: u32,
+    /// Connections that a prefix may have open (IPv4 /24, IPv6 /64), and eight times as many a wider one (/48).
+    /// A known address is not counted against its neighbours' sins.
+    pub per_prefix: u32,
+    /// Connections that an address may open in a second, and so many at once.
+    pub per_second: f64,
+    /// Connections that have not finished their handshake, in all and by address.
+    pub handshakes: u32,
+    /// See `handshakes`.
+    pub handshakes_per_address: u32,
+    /// Share of the clients' budget kept for known clients.
+    pub reserve: f64,
+    /// Share of it, inside the reserve, kept for the dearest plans.
+    pub preferred: f64,
+    /// Addresses without a connection that are remembered.
+    pub remembered: usize,
+    /// Refusals a second that get a word; more are closed without one.
+    pub words_per_s: f64,
+}
+
+/// Why a connection is refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Reason {
+    /// Its address has too many open.
+    Address,
+    /// Its prefix has too many open.
+    Prefix,
+    /// Its address opens them too fast.
+    Rate,
+    /// Too many have not finished their handshake.
+    Handshakes,
+    /// All room that it may use is in use.
+    Full,
+}
+
+/// What becomes of a connection that was offered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Offer {
+    /// It is let in; `evict`: another one, idle, has to go for it.
+    Accept {
+        /// The one to close.
+        evict: Option<ConnId>,
+    },
+    /// It is refused.
+    Refuse {
+        /// Why.
+        reason: Reason,
+        /// There is room in the budget of work for telling it so; else it is just closed.
+        word: bool,
+        /// When it may come back.
+        pause: Micros,
+    },
+}
+
+/// How a client stands, in the ladder's order: the first are refused first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Standing {
+    /// Its requests were refused lately, far more than served.
+    Red,
+    /// Never served lately.
+    Unknown,
+    /// Served within quota lately, or named by the settings.
+    Known,
+    /// Known, and of the dearest plans.
+    Preferred,
+}
+
+#[derive(Default)]
+struct Place {
+    open: u32,
+    shaking: u32,
+    /// Connections that it may open now, and since when that is so.
+    allowance: f64,
+    at: Micros,
+    /// Requests served and refused, fading in some ten seconds.
+    served: f64,
+    refused: f64,
+    judged: Micros,
+}
+
+struct Conn {
+    address: IpAddr,
+    standing: Standing,
+    shaking: bool,
+    /// Requests open; at nought it is idle since `since`.
+    busy: u32,
+    since: Micros,
+    leaving: bool,
+}
+
+/// Memory of answers by address, in microseconds.
+const FADE: f64 = 10e6;
+/// Refusals, faded, from which an address can be red, and how many times its served requests they must be.
+const RED: (f64, f64) = (8.0, 4.0);
+/// Share of the room of unknown clients that red ones may use.
+const RED_ROOM: f64 = 0.5;
+/// A known address may open this many times what another may.
+const KNOWN_FACTOR: u32 = 4;
+/// A wider prefix may have open this many times what a narrow one may.
+const WIDE_FACTOR: u32 = 8;
+/// A gap between two events, in a caller that tells of every tenth of a second, that is this side's own pause.
+const OWN_PAUSE: Micros = 400_000;
+/// What a refused client is told to wait where nothing better is known.
+const PAUSE: Micros = 1_000_000;
+
+/// Decides on connections.
+pub struct Admission {
+    caps: Caps,
+    budget: Budget,
+    /// Who is known.
+    pub known: Known,
+    conns: BTreeMap<ConnId, Conn>,
+    places: BTreeMap<IpAddr, Place>,
+    /// Those without a connection, by when they were last seen.
+    quiet: BTreeSet<(Micros, IpAddr)>,
+    prefixes: BTreeMap<(u128, u32, bool), u32>,
+    /// Connections by standing, and the idle ones of each in the order in which they fell idle.
+    count: [u64; 4],
+    idle: [BTreeSet<(Micros, ConnId)>; 4],
+    shaking: u32,
+    leaving: u64,
+    words: f64,
+    words_at: Micros,
+    /// The last event, and the time that this side stood still: deadlines do not run meanwhile.
+    last: Micros,
+    still: Micros,
+    paused_until: Micros,
+    failures: u32,
+}
+
+impl Admission {
+    /// A decider with nothing open.
+    pub fn new(caps: Caps, budget: Budget, known: Known) -> Self {
+        Admission {
+            words: caps.words_per_s.max(1.0),
+            caps,
+            budget,
+            known,
+            conns: BTreeMap::new(),
+            places: BTreeMap::new(),
+            quiet: BTreeSet::new(),
+            prefixes: BTreeMap::new(),
+            count: [0; 4],
+            idle: Default::default(),
+            shaking: 0,
+            leaving: 0,
+            words_at: 0,
+            last: 0,
+            still: 0,
+            paused_until: 0,
+            failures: 0,
+        }
+    }
+
+    /// Time as it ran for clients: without the spells in which this side stood still. Told every tenth of a second,
+    /// and before each event, it finds those by itself.
+    pub fn own_time(&mut self, now: Micros) -> Micros {
+        if self.last > 0 && now > self.last + OWN_PAUSE {
+            self.still += now - self.last;
+        }
+        self.last = self.last.max(now);
+        now.saturating_sub(self.still)
+    }
+
+    /// How an address stands.
+    pub fn standing(&self, now: Micros, address: IpAddr) -> Standing {
+        let address = plain(address);
+        if let Some(p) = self.places.get(&address) {
+            let keep = (-(now.saturating_sub(p.judged) as f64) / FADE).exp();
+            if p.refused * keep > RED.0 && p.refused > RED.1 * p.served {
+                return Standing::Red;
+            }
+        }
+        match self.known.look(now, address) {
+            Some(true) => Standing::Preferred,
+            Some(false) => Standing::Known,
+            None => Standing::Unknown,
+        }
+    }
+
+    /// How many connections there may be in all before one of this standing is refused.
+    fn room(&self, standing: Standing) -> u64 {
+        let all = self.budget.clients as f64;
+        let kept = match standing {
+            Standing::Preferred => 0.0,
+            Standing::Known => self.caps.preferred,
+            Standing::Unknown | Standing::Red => self.caps.reserve.max(self.caps.preferred),
+        };
+        let room = all - (all * kept).ceil();
+        (if standing == Standing::Red { room * RED_ROOM } else { room }).max(0.0) as u64
+    }
+
+    fn open(&self) -> u64 {
+        self.conns.len() as u64
+    }
+
+    /// A connection is offered. Where it is accepted it counts as open from now on, under `id`.
+    pub fn offered(&mut self, now: Micros, id: ConnId, address: IpAddr) -> Offer {
+        self.own_time(now);
+        let address = plain(address);
+        let standing = self.standing(now, address);
+        match self.check(now, address, standing) {
+            Err((reason, pause)) => {
+                self.tidy();
+                self.refuse(now, reason, pause)
+            }
+            Ok(evict) => {
+                if let Some(victim) = evict {
+                    self.leave(victim);
+                }
+                self.enter(now, id, address, standing);
+                Offer::Accept { evict }
+            }
+        }
+    }
+
+    fn refuse(&mut self, now: Micros, reason: Reason, pause: Micros) -> Offer {
+        let span = now.saturating_sub(self.words_at) as f64 / 1e6;
+        self.words_at = self.words_at.max(now);
+        self.words = (self.words + span * self.caps.words_per_s).min(self.caps.words_per_s.max(1.0));
+        let word = self.words >= 1.0;
+        self.words -= f64::from(u8::from(word));
+        Offer::Refuse { reason, word, pause }
+    }
+
+    fn check(
+        &mut self,
+        now: Micros,
+        address: IpAddr,
+        standing: Standing,
+    ) -> Result<Option<ConnId>, (Reason, Micros)> {
+        let (caps, known) = (self.caps, standing >= Standing::Known);
+        let factor = if known { KNOWN_FACTOR } else { 1 };
+        let fresh = !self.places.contains_key(&address);
+        let p = self.places.entry(address).or_default();
+        // An attempt is counted whatever becomes of it: who keeps trying waits longest.
+        let most = (caps.per_second * f64::from(factor)).max(1.0);
+        if fresh {
+            p.allowance = most;
+        }
+        let span = now.saturating_sub(p.at) as f64 / 1e6;
+        p.allowance = (p.allowance + span * most).min(most);
+        let (seen, quiet) = (p.at, p.open == 0);
+        p.at = p.at.max(now);
+        let (allowed, open, shaking, at) = (p.allowance >= 1.0, p.open, p.shaking, p.at);
+        if allowed {
+            p.allowance -= 1.0;
+        }
+        if quiet {
+            self.quiet.remove(&(seen, address));
+            self.quiet.insert((at, address));
+        }
+        if !allowed {
+            return Err((Reason::Rate, (1e6 / most) as Micros));
+        }
+        if open >= caps.per_address.saturating_mul(factor) {
+            return Err((Reason::Address, PAUSE));
+        }
+        if !known && (shaking >= caps.handshakes_per_address || self.shaking >= caps.handshakes) {
+            return Err((Reason::Handshakes, PAUSE));
+        }
+        // A quarter more for known clients: a flood of half-open connections is not theirs to wait for.
+        if known && self.shaking > caps.handshakes + caps.handshakes / 4 {
+            return Err((Reason::Handshakes, PAUSE));
+        }
+        if !known {
+            let over =
+                |(block, most): (Block, u32)| self.prefixes.get(&block.key()).is_some_and(|n| *n >= most);
+            if prefixes(address, caps.per_prefix).into_iter().flatten().any(over) {
+                return Err((Reason::Prefix, PAUSE));
+            }
+        }
+        // What is leaving still holds its descriptor: the spare ones bridge that.
+        if self.open() - self.leaving < self.room(standing) {
+            return if self.open() < self.budget.clients + self.budget.spare {
+                Ok(None)
+            } else {
+                Err((Reason::Full, PAUSE))
+            };
+        }
+        // Known clients may use the whole room but that kept above them: idle ones below them make place.
+        if !known
+            || self.open() >= self.budget.clients + self.budget.spare
+            || self.leaving >= self.budget.spare
+        {
+            return Err((Reason::Full, PAUSE));
+        }
+        let below = [Standing::Red, Standing::Unknown];
+        let victim = below.iter().find_map(|s| self.idle[*s as usize].first()).map(|(_, id)| *id);
+        victim.map(Some).ok_or((Reason::Full, PAUSE))
+    }
+
+    fn enter(&mut self, now: Micros, id: ConnId, address: IpAddr, standing: Standing) {
+        let p = self.places.entry(address).or_default();
+        if p.open == 0 {
+            self.quiet.remove(&(p.at, address));
+        }
+        p.open += 1;
+        p.shaking += 1;
+        self.shaking += 1;
+        for (block, _) in prefixes(address, 0).into_iter().flatten() {
+            *self.prefixes.entry(block.key()).or_default() += 1;
+        }
+        self.count[standing as usize] += 1;
+        self.idle[standing as usize].insert((now, id));
+        let conn = Conn { address, standing, shaking: true, busy: 0, since: now, leaving: false };
+        self.conns.insert(id, conn);
+    }
+
+    /// Marks a connection that was told to go.
+    fn leave(&mut self, id: ConnId) {
+        let Some(c) = self.conns.get_mut(&id).filter(|c| !c.leaving) else { return };
+        c.leaving = true;
+        self.leaving += 1;
+        self.idle[c.standing as usize].remove(&(c.since, id));
+    }
+
+    /// One that was to be evicted has a request after all, and stays.
+    pub fn stays(&mut self, id: ConnId) {
+        if let Some(c) = self.conns.get_mut(&id).filter(|c| c.leaving) {
+            c.leaving = false;
+            self.leaving -= 1;
+            if c.busy == 0 {
+                self.idle[c.standing as usize].insert((c.since, id));
+            }
+        }
+    }
+
+    /// A connection's handshake is done.
+    pub fn handshaken(&mut self, now: Micros, id: ConnId) {
+        self.own_time(now);
+        let Some(c) = self.conns.get_mut(&id).filter(|c| c.shaking) else { return };
+        c.shaking = false;
+        self.shaking -= 1;
+        if let Some(p) = self.places.get_mut(&c.address) {
+            p.shaking -= 1;
+        }
+    }
+
+    /// A request came in on a connection: it is not idle until its answer goes out.
+    pub fn request(&mut self, now: Micros, id: ConnId) {
+        self.own_time(now);
+        let Some(c) = self.conns.get_mut(&id) else { return };
+        c.busy += 1;
+        if c.busy == 1 {
+            self.idle[c.standing as usize].remove(&(c.since, id));
+        }
+    }
+
+    /// A request ended. `served` names the account that it was served for, within its quota, and whether that is of a
+    /// dearest plan; none: it was refused, failed or withdrawn, `refused` tells the first.
+    pub fn ended(&mut self, now: Micros, id: ConnId, served: Option<(u64, bool)>, refused: bool) {
+        self.own_time(now);
+        let Some(c) = self.conns.get_mut(&id) else { return };
+        c.busy = c.busy.saturating_sub(1);
+        let (address, standing) = (c.address, c.standing);
+        if c.busy == 0 {
+            c.since = now;
+            if !c.leaving {
+                self.idle[standing as usize].insert((now, id));
+            }
+        }
+        if let Some(p) = self.places.get_mut(&address) {
+            let keep = (-(now.saturating_sub(p.judged) as f64) / FADE).exp();
+            p.served = p.served * keep + f64::from(u8::from(served.is_some()));
+            p.refused = p.refused * keep + f64::from(u8::from(refused));
+            p.judged = now;
+        }
+        if let Some((account, preferred)) = served {
+            self.known.served(now, address, account, preferred);
+        }
+        if served.is_some() || refused {
+            self.restand(now, id);
+        }
+    }
+
+    /// Puts a connection under the standing that its address has by now.
+    fn restand(&mut self, now: Micros, id: ConnId) {
+        let Some(address) = self.conns.get(&id).map(|c| c.address) else { return };
+        let standing = self.standing(now, address);
+        let Some(c) = self.conns.get_mut(&id).filter(|c| c.standing != standing) else { return };
+        self.count[c.standing as usize] -= 1;
+        self.count[standing as usize] += 1;
+        if self.idle[c.standing as usize].remove(&(c.since, id)) {
+            self.idle[standing as usize].insert((c.since, id));
+        }
+        c.standing = standing;
+    }
+
+    /// A connection is gone.
+    pub fn closed(&mut self, now: Micros, id: ConnId) {
+        self.own_time(now);
+        self.handshaken(now, id);
+        let Some(c) = self.conns.remove(&id) else { return };
+        self.leaving -= u64::from(c.leaving);
+        self.count[c.standing as usize] -= 1;
+        self.idle[c.standing as usize].remove(&(c.since, id));
+        for (block, _) in prefixes(c.address, 0).into_iter().flatten() {
+            if let Some(n) = self.prefixes.get_mut(&block.key()) {
+                *n -= 1;
+                if *n == 0 {
+                    self.prefixes.remove(&block.key());
+                }
+            }
+        }
+        if let Some(p) = self.places.get_mut(&c.address) {
+            p.open -= 1;
+            if p.open == 0 {
+                self.quiet.insert((p.at, c.address));
+            }
+        }
+        self.tidy();
+    }
+
+    /// Forgets the quiet addresses that are too many, the longest unseen first.
+    fn tidy(&mut self) {
+        while self.quiet.len() > self.caps.remembered {
+            let Some((_, address)) = self.quiet.pop_first() else { return };
+            self.places.remove(&address);
+        }
+    }
+
+    /// The budget changed. Gives the idle connections that have to go for it; busy ones stay until they are idle.
+    pub fn rebudget(&mut self, now: Micros, budget: Budget) -> Vec<ConnId> {
+        self.own_time(now);
+        self.budget = budget;
+        let mut list = Vec::new();
+        let order = [Standing::Red, Standing::Unknown, Standing::Known, Standing::Preferred];
+        for standing in order {
+            while self.open() - self.leaving > self.budget.clients {
+                let Some((_, id)) = self.idle[standing as usize].first().copied() else { break };
+                self.leave(id);
+                list.push(id);
+            }
+        }
+        list
+    }
+
+    /// Accepting failed for want of a resource: the listener is to rest until the given time, longer each time.
+    pub fn accept_failed(&mut self, now: Micros) -> Micros {
+        self.own_time(now);
+        self.failures = (self.failures + 1).min(8);
+        self.paused_until = now + (5000 << self.failures);
+        self.paused_until
+    }
+
+    /// Accepting went well.
+    pub fn accepted(&mut self) {
+        self.failures = 0;
+    }
+
+    /// Connections open by standing, red first.
+    pub fn open_by_standing(&self) -> [u64; 4] {
+        self.count
+    }
+
+    /// Entries in the tables that floods can fill: addresses, and prefixes.
+    pub fn table_sizes(&self) -> (usize, usize) {
+        (self.places.len(), self.prefixes.len())
+    }
+}
+
+/// The prefixes that an address counts for, with the most that each may have.
+fn prefixes(address: IpAddr, most: u32) -> [Option<(Block, u32)>; 2] {
+    match address {
+        IpAddr::V4(_) => [Some((Block::of(address, 24), most)), None],
+        IpAddr::V6(_) => {
+            let wide = most.saturating_mul(WIDE_FACTOR);
+            [Some((Block::of(address, 64), most)), Some((Block::of(address, 48), wide))]
+        }
+    }
+}
--- /dev/null
+++ b/crates/admission/src/lib.rs
@@ -0,0 +1,25 @@
+//! Decides which connections an ingress lets in. Free of I/O and clock: [`Admission`] is told what happens, with the
+//! time, and says what is to be done.
+//!
+//! A connection is refused by its address before it costs anything: too many open, too many a second, too many that
+//! have not finished their handshake, by address and by prefix. Among those that pass, room is kept in the order of the
+//! module's ladder: red addresses are refused first, then unknown ones, then known ones, those of the dearest plans
+//! last. Known is who was lately served within quota, or whom the settings name; nothing that a client says makes it
+//! known. Idle connections of unknown clients make room for known ones; one that has a request open never does.
+//!
+//! - [`budget`]: how the process's descriptors are split
+//! - [`known`]: who is known, and the snapshot that survives a restart
+//! - [`decide`]: the decider
+//! - [`pace`]: what counts as too slow
+
+pub mod budget;
+pub mod decide;
+pub mod known;
+pub mod pace;
+
+pub use budget::{Budget, BudgetError, Split};
+pub use decide::{Admission, Caps, ConnId, Offer, Reason, Standing};
+pub use known::{Block, Known};
+
+/// A span of time, or a time, in microseconds.
+pub type Micros = u64;
