--- a/crates/gateway/src/front/grpc.rs
+++ b/crates/gateway/src/front/grpc.rs
@@ -1,6 +1,7 @@
 //! The public gRPC rate limit service (`envoy.service.ratelimit.v3.RateLimitService`) and its health check.
 
 use crate::driver::{Answer, Ask, Input, Reply};
+use crate::gate::{Gate, Pass, Refusal};
 use crate::settings::{Compiled, KeyRule};
 use crate::telemetry::{add, Telemetry};
 use async_channel::{Receiver, Sender};
@@ -42,11 +43,15 @@
     pub kill: Receiver<()>,
     /// Connections that are open.
     pub open: Arc<AtomicUsize>,
+    /// Lets connections in.
+    pub gate: Arc<Gate>,
 }
 
+/// How long a refused client may take to read why.
+const WORD: Micros = 200_000;
+
 /// Takes connections until the drain begins.
 pub(crate) async fn listen(door: Door, listener: Box<dyn Listener>) {
-    let most = door.settings.settings.front.max_connections;
     loop {
         let drained = async {
             let _ = door.drain.recv().await;
@@ -55,61 +60,131 @@
         let Some(arrived) = future::or(drained, async { Some(listener.accept().await) }).await else {
             return;
         };
-        match arrived {
-            Ok(stream) if door.open.load(Ordering::Relaxed) < most => {
+        let stream = match arrived {
+            Ok(stream) => stream,
+            Err(e) => {
+                // Out of descriptors or memory: at once it would fail again and again.
+                door.runtime.sleep_until(door.gate.accept_failed(&e)).await;
+                continue;
+            }
+        };
+        match door.gate.offer(stream.peer().ip()) {
+            Ok(pass) => {
                 add(&door.telemetry.connections);
                 door.open.fetch_add(1, Ordering::Relaxed);
-                let (kill, served) = (door.kill.clone(), serve(door.clone(), stream));
-                let killed = async move {
-                    let _ = kill.recv().await;
-                };
                 let open = door.open.clone();
-                let task = async move {
-                    future::or(killed, served).await;
+                door.spawn(serve(door.clone(), stream, pass), move || {
                     open.fetch_sub(1, Ordering::Relaxed);
-                };
-                door.runtime.spawn(Box::pin(task)).detach();
+                });
             }
-            Ok(stream) => drop(stream), // over the limit: closed at once rather than left hanging
-            Err(e) => {
-                tracing::warn!(error = %e, "no connection could be accepted");
-                // Out of descriptors, as a rule: at once it would fail again and again.
-                door.runtime.sleep_until(door.runtime.now() + 10_000).await;
+            Err(Refusal { word: Some(word), pause }) => {
+                door.spawn(refuse(door.runtime.clone(), stream, pause), move || drop(word));
             }
+            Err(_) => drop(stream), // closed at once rather than left hanging
+        }
+    }
+}
+
+impl Door {
+    fn spawn(
+        &self,
+        task: impl std::future::Future<Output = ()> + Send + 'static,
+        end: impl FnOnce() + Send + 'static,
+    ) {
+        let kill = self.kill.clone();
+        let killed = async move {
+            let _ = kill.recv().await;
+        };
+        let task = async move {
+            future::or(killed, task).await;
+            end();
+        };
+        self.runtime.spawn(Box::pin(task)).detach();
+    }
+}
+
+/// Tells a client that it is refused and when to come back, by what any client of HTTP/2 understands, and waits a
+/// moment for it to close: closed at once, with its preface unread, the word would be lost on its way.
+async fn refuse(runtime: Shared, stream: Box<dyn Stream>, pause: Micros) {
+    let (_commands, none) = async_channel::bounded::<()>(1);
+    let (_keep, signal) = async_channel::bounded(1);
+    let mut pipe = Pipe::new(runtime.clone(), stream, Connection::server(Config::default()), none, signal);
+    pipe.conn
+        .calm(&format!("no room for this connection; retry-after: {}", pause.div_ceil(1_000_000).max(1)));
+    let end = runtime.now() + WORD;
+    loop {
+        if let Turn::Closed | Turn::Time = pipe.turn(Some(end), true).await {
+            return;
         }
     }
 }
 
 enum Call {
-    Reading { health: bool, body: Deframer, arrived: Micros, timeout: Option<Micros> },
-    Waiting { id: RequestId, descriptors: usize },
+    Reading {
+        health: bool,
+        body: Deframer,
+        arrived: Micros,
+        timeout: Option<Micros>,
+        begun: Micros,
+        bytes: u64,
+    },
+    Waiting {
+        id: RequestId,
+        descriptors: usize,
+        account: u64,
+        preferred: bool,
+    },
 }
 
 struct Session {
     door: Door,
+    pass: Pass,
     calls: HashMap<u32, Call>,
     /// Asks that the driver has not said its one word about: bounded, that word's channel always has room.
     unheard: usize,
     reply: Sender<Reply>,
     draining: bool,
+    /// When calls whose message has not come are looked at, if there are any.
+    look: Option<Micros>,
+    /// Since when the peer is in the middle of something, and what had come by then.
+    midway: Option<(Micros, u64)>,
+    /// Unwritten bytes: since when by the pipe's clock, since when by the client's, what was written since.
+    unread: Option<(Micros, Micros, u64)>,
+    idle_since: Micros,
+    told_idle: bool,
+    /// How far the client's time is behind.
+    still: Micros,
 }
 
 /// Serves one connection to its end.
-async fn serve(door: Door, stream: Box<dyn Stream>) {
+async fn serve(door: Door, stream: Box<dyn Stream>, pass: Pass) {
     let front = &door.settings.settings.front;
-    let (most, patience, peer) = (2 * front.max_streams as usize, front.patience_ms * 1000, stream.peer());
+    let (most, peer) = (2 * front.max_streams as usize, stream.peer());
     let config = Config { max_streams: front.max_streams, ..Config::default() };
     // As many as `unheard` allows, below: room made beforehand would cost an idle connection its hundreds of KiB.
     let (reply, replies) = async_channel::unbounded();
     let runtime = door.runtime.clone();
-    let begun = runtime.now();
+    let begun = pass.own_time();
     let mut pipe =
-        Pipe::new(runtime.clone(), stream, Connection::server(config), replies, door.drain.clone());
-    let mut s = Session { calls: HashMap::new(), unheard: 0, reply, draining: false, door };
+        Pipe::new(runtime.clone(), stream, Connection::server(config), replies, pass.signal.clone());
+    let mut s = Session {
+        door,
+        pass,
+        calls: HashMap::new(),
+        unheard: 0,
+        reply,
+        draining: false,
+        look: None,
+        midway: None,
+        unread: None,
+        idle_since: begun,
+        told_idle: false,
+        still: runtime.now().saturating_sub(begun),
+    };
+    let mut greeted = false;
     loop {
-        let greet = (!pipe.conn.greeted()).then_some(begun + patience);
-        let until = greet.into_iter().chain(pipe.stuck().map(|at| at + patience)).min();
-        match pipe.turn(until, s.unheard < most).await {
+        let until = s.until(&pipe, begun);
+        match pipe.turn(Some(until), s.unheard < most).await {
             Turn::Read => {}
             Turn::Command(r) => {
                 s.answer(r, &mut pipe);
@@ -118,15 +193,28 @@
                 }
             }
             Turn::Time => {
-                let what = if pipe.conn.greeted() { "answers lie unread" } else { "no SETTINGS in time" };
-                let code = chalkgap_wire::http2::Code::SETTINGS_TIMEOUT;
-                pipe.conn.abort(ConnError { code, what });
-                add(&s.door.telemetry.connections_bad);
-                break;
+                if let Some(what) = s.too_slow(&mut pipe, begun) {
+                    let code = chalkgap_wire::http2::Code::ENHANCE_YOUR_CALM;
+                    pipe.conn.abort(ConnError { code, what });
+                    add(&s.door.telemetry.too_slow);
+                    add(&s.door.telemetry.connections_bad);
+                    break;
+                }
             }
             Turn::Signal => {
-                s.draining = true;
-                pipe.conn.shutdown();
+                let draining = s.pass.draining();
+                if !draining && !s.calls.is_empty() {
+                    // To be evicted, but a request was taken meanwhile.
+                    let signal = s.pass.stays();
+                    pipe.watch(signal);
+                } else {
+                    s.draining = true;
+                    pipe.conn.shutdown();
+                    if !draining {
+                        pipe.conn.calm("idle, and others need the room; retry-after: 1");
+                        break;
+                    }
+                }
             }
             Turn::Bad(e) => {
                 add(&s.door.telemetry.connections_bad);
@@ -136,6 +224,10 @@
             Turn::Closed => break,
         }
         s.events(&mut pipe).await;
+        if !greeted && pipe.conn.greeted() {
+            greeted = true;
+            s.pass.handshaken();
+        }
         if pipe.conn.finished() {
             break;
         }
@@ -145,6 +237,76 @@
 }
 
 impl Session {
+    /// The client's time, about: without this side's pauses as far as they were known when last asked.
+    fn time(&self) -> Micros {
+        self.door.runtime.now().saturating_sub(self.still)
+    }
+
+    /// When something here may have become too slow, at the latest.
+    fn until(&mut self, pipe: &Pipe<Reply>, begun: Micros) -> Micros {
+        let (pace, received, now) = (self.pass.pace(), pipe.conn.received(), self.time());
+        if !pipe.conn.midway() {
+            self.midway = None;
+        } else if self.midway.is_none() {
+            self.midway = Some((now, received));
+        }
+        // The pipe has its own clock: here it counts from when it was first seen.
+        self.unread = pipe.backlog().map(|(since, written)| match self.unread {
+            Some((seen, at, _)) if seen == since => (since, at, written),
+            _ => (since, now, written),
+        });
+        let greet = (!pipe.conn.greeted()).then_some(begun + pace.patience);
+        let midway = self.midway.map(|(since, from)| pace.until(since, received - from));
+        let unread = self.unread.map(|(_, since, written)| pace.until(since, written));
+        let idle = self.idle_since + self.door.settings.settings.admission.idle_ms * 1000;
+        let idle = self.calls.is_empty().then_some(idle);
+        let next = [greet, midway, unread, self.look, idle].into_iter().flatten().min();
+        // Not too soon again where a pause was found in between.
+        next.unwrap_or(u64::MAX / 2).max(now + 1000) + self.still
+    }
+
+    /// Gives up what is too slow by now; says why, where that is the connection. What has come was read before.
+    fn too_slow(&mut self, pipe: &mut Pipe<Reply>, begun: Micros) -> Option<&'static str> {
+        let (pace, now, received) = (self.pass.pace(), self.pass.own_time(), pipe.conn.received());
+        self.still = self.door.runtime.now().saturating_sub(now);
+        if !pipe.conn.greeted() && now >= begun + pace.patience {
+            return Some("no SETTINGS in time");
+        }
+        if self.midway.is_some_and(|(since, from)| pace.too_slow(now, since, received - from)) {
+            return Some("a frame that does not come to its end");
+        }
+        if self.unread.is_some_and(|(_, since, written)| pace.too_slow(now, since, written)) {
+            return Some("answers lie unread");
+        }
+        let idle = self.door.settings.settings.admission.idle_ms * 1000;
+        if self.calls.is_empty() && now >= self.idle_since + idle {
+            if std::mem::replace(&mut self.told_idle, true) {
+                return Some("idle, and did not go when it was told to");
+            }
+            pipe.conn.shutdown();
+            self.idle_since = (now + pace.patience).saturating_sub(idle);
+        }
+        self.look = None;
+        let mut late = Vec::new();
+        for (stream, call) in &self.calls {
+            if let Call::Reading { begun, bytes, .. } = call {
+                if pace.too_slow(now, *begun, *bytes) {
+                    late.push(*stream);
+                } else {
+                    let at = pace.until(*begun, *bytes);
+                    self.look = Some(self.look.map_or(at, |l| l.min(at)));
+                }
+            }
+        }
+        late.sort_unstable();
+        for stream in late {
+            add(&self.door.telemetry.too_slow);
+            let text = "the message came too slowly: it was not taken";
+            self.invalid(stream, &Status::new(Code::DeadlineExceeded, text), pipe);
+        }
+        None
+    }
+
     /// The client is gone: what it waits for is withdrawn.
     async fn leave(&mut self) {
         for call in std::mem::take(&mut self.calls).into_values() {
@@ -169,7 +331,10 @@
                 }
                 Event::Data { stream, data, end } => {
                     pipe.conn.consumed(stream, data.len());
-                    let Some(Call::Reading { body, .. }) = self.calls.get_mut(&stream) else { continue };
+                    let Some(Call::Reading { body, bytes, .. }) = self.calls.get_mut(&stream) else {
+                        continue;
+                    };
+                    *bytes += data.len() as u64;
                     body.push(&data);
                     let asked = match body.message() {
                         Ok(Some(message)) => self.call(stream, message, pipe),
@@ -182,6 +347,7 @@
                     match asked {
                         Ok(Some(ask)) => {
                             self.unheard += 1;
+                            self.pass.request();
                             if self.door.driver.send(Input::Ask(ask)).await.is_err() {
                                 return; // the instance has stopped
                             }
@@ -235,8 +401,11 @@
             return false;
         }
         let front = &self.door.settings.settings.front;
-        let (body, arrived) = (Deframer::new(front.most_message), self.door.runtime.now());
-        self.calls.insert(stream, Call::Reading { health, body, arrived, timeout: timeout.flatten() });
+        let (body, arrived, begun) =
+            (Deframer::new(front.most_message), self.door.runtime.now(), self.time());
+        let timeout = timeout.flatten();
+        self.look = self.look.or(Some(begun + self.pass.pace().patience));
+        self.calls.insert(stream, Call::Reading { health, body, arrived, timeout, begun, bytes: 0 });
         true
     }
 
@@ -273,19 +442,28 @@
         let descriptors = request.descriptors.len();
         let id = RequestId(self.door.ids.fetch_add(1, Ordering::Relaxed));
         let ask = ask(&self.door, request, id, arrived, timeout, stream, self.reply.clone())?;
-        self.calls.insert(stream, Call::Waiting { id, descriptors });
+        let preferred = self.door.settings.preferred[usize::from(ask.customer.plan)];
+        let account = ask.customer.id.0;
+        self.calls.insert(stream, Call::Waiting { id, descriptors, account, preferred });
         Ok(Some(Box::new(ask)))
     }
 
     /// The one word on an ask.
     fn answer(&mut self, r: Reply, pipe: &mut Pipe<Reply>) {
         self.unheard -= 1;
+        if self.calls.len() <= 1 {
+            self.idle_since = self.time();
+        }
         // A client that reset the call and a reply that crossed it: nobody is there to be told.
         let same = |c: &Call| matches!(c, Call::Waiting { id, .. } if *id == r.id);
         if !self.calls.get(&r.token).is_some_and(same) {
-            return;
+            return self.pass.ended(None, false);
         }
-        let Some(Call::Waiting { descriptors, .. }) = self.calls.remove(&r.token) else { return };
+        let Some(Call::Waiting { descriptors, account, preferred, .. }) = self.calls.remove(&r.token) else {
+            return;
+        };
+        let served = matches!(r.answer, Answer::Served { .. }).then_some((account, preferred));
+        self.pass.ended(served, matches!(r.answer, Answer::Refused { .. }));
         let header = |key: &str, value: String| HeaderValue { key: key.into(), value };
         let response = match r.answer {
             Answer::Served { body, node } => RateLimitResponse {
--- a/crates/gateway/src/instance.rs
+++ b/crates/gateway/src/instance.rs
@@ -2,6 +2,7 @@
 
 use crate::driver::{Driver, Input};
 use crate::front::grpc::{self, Door};
+use crate::gate::Gate;
 use crate::nodes::{Book, NodeList};
 use crate::peers::{Key, Opener, Sealer, MOST_DATAGRAM};
 use crate::settings::{Compiled, ListSource, Settings, SettingsError};
@@ -49,6 +50,7 @@
     driver: Sender<Input>,
     telemetry: Arc<Telemetry>,
     open: Arc<AtomicUsize>,
+    gate: Arc<Gate>,
     drain: Option<Sender<()>>,
     kill: Option<Sender<()>>,
 }
@@ -72,6 +74,8 @@
             }
         };
         let (born, telemetry) = (runtime.now(), Arc::new(Telemetry::default()));
+        let gate = Gate::new(runtime.clone(), &settings, telemetry.clone())?;
+        gate.restore().await;
         let (driver, input) = async_channel::bounded(ROOM);
         let (drain, drained) = async_channel::bounded(1);
         let (kill, killed) = async_channel::bounded(1);
@@ -82,6 +86,7 @@
             driver: driver.clone(),
             telemetry: telemetry.clone(),
             open: Arc::default(),
+            gate: gate.clone(),
             drain: Some(drain),
             kill: Some(kill),
             runtime: runtime.clone(),
@@ -162,7 +167,9 @@
             drain: drained,
             kill: killed.clone(),
             open: instance.open.clone(),
+            gate: gate.clone(),
         };
+        start(Box::pin(gate.watch()));
         start(Box::pin(grpc::listen(door, listener)));
         tracing::info!(ingress = fleet.me, grpc = %instance.grpc, "started");
         Ok(instance)
@@ -200,6 +207,8 @@
     /// connections are closed, or at `until`; true if none was left.
     pub async fn drain(&mut self, until: Micros) -> bool {
         self.drain = None;
+        self.gate.drain();
+        self.gate.keep().await;
         while self.open.load(Ordering::Relaxed) > 0 {
             let now = self.runtime.now();
             if now >= until {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 
 mod driver;
 mod front;
+mod gate;
 mod instance;
 pub mod nodes;
 pub mod peers;
--- a/crates/gateway/src/settings/compiled.rs
+++ b/crates/gateway/src/settings/compiled.rs
@@ -1,6 +1,7 @@
 //! Settings as the driver and the fronts look things up in them: names resolved, what belongs together checked.
 
 use super::{Group, Settings, SettingsError, Sizes};
+use chalkgap_admission::Block;
 use chalkgap_core as core;
 use chalkgap_core::CustomerId;
 use std::collections::HashMap;
@@ -37,6 +38,10 @@
     pub keys: Vec<KeyRule>,
     /// Index of each zone.
     pub zones: HashMap<String, u8>,
+    /// Whether each plan is of the dearest, where prices differ.
+    pub preferred: Vec<bool>,
+    /// Blocks of addresses that are always known.
+    pub named: Vec<Block>,
     accounts: HashMap<String, Customer>,
     default_plan: Option<u16>,
     default_class: Option<u8>,
@@ -54,6 +59,12 @@
     CustomerId(u64::from_le_bytes(word) & ((1 << 33) - 1))
 }
 
+fn preferred(plans: &[super::Plan]) -> Vec<bool> {
+    let top = plans.iter().map(|p| p.price).fold(f64::MIN, f64::max);
+    let differ = plans.iter().any(|p| p.price < top);
+    plans.iter().map(|p| differ && p.price >= top).collect()
+}
+
 impl Compiled {
     /// Checks what values cannot say by themselves.
     ///
@@ -116,6 +127,28 @@
                 say(format!("plans[{n}].ceiling_burst"), text);
             }
         }
+        let a = &settings.admission;
+        if a.preferred > a.reserve {
+            let text =
+                format!("{} is more than the reserve of {}, which it is a part of", a.preferred, a.reserve);
+            say("admission.preferred".into(), text);
+        }
+        if a.handshakes_per_address > a.handshakes {
+            let text =
+                format!("{} is more than the {} handshakes in all", a.handshakes_per_address, a.handshakes);
+            say("admission.handshakes_per_address".into(), text);
+        }
+        if a.per_address > a.per_prefix {
+            let text = format!("{} is more than the {} of its prefix", a.per_address, a.per_prefix);
+            say("admission.per_address".into(), text);
+        }
+        let mut named = Vec::new();
+        for (n, text) in a.named.iter().enumerate() {
+            match Block::parse(text) {
+                Ok(block) => named.push(block),
+                Err(e) => say(format!("admission.named[{n}]"), e),
+            }
+        }
         let mut find = |map: &HashMap<String, usize>, name: &Option<String>, path: &str| {
             let name = name.as_ref()?;
             let found = map.get(name).copied();
@@ -159,6 +192,8 @@
             keys: settings.classes.iter().map(keyed).collect(),
             classes: classes.into_iter().map(|(name, n)| (name, n as u8)).collect(),
             zones: zones.into_iter().map(|(name, n)| (name, n as u8)).collect(),
+            preferred: preferred(&settings.plans),
+            named,
             accounts,
             default_plan,
             default_class,
--- a/crates/gateway/src/settings/mod.rs
+++ b/crates/gateway/src/settings/mod.rs
@@ -72,6 +72,14 @@
     #[serde(default)]
     #[garde(dive)]
     pub upstream: Upstream,
+    /// Which connections of clients are let in.
+    #[serde(default)]
+    #[garde(dive)]
+    pub admission: Admission,
+    /// How the process's descriptors are split.
+    #[serde(default)]
+    #[garde(dive)]
+    pub descriptors: Descriptors,
 }
 
 /// The fleet and this instance's place in it.
@@ -491,6 +499,106 @@
     }
 }
 
+/// Which connections of clients are let in.
+#[derive(Clone, Debug, Serialize, Deserialize, JsonSchema, Validate)]
+#[serde(deny_unknown_fields, default)]
+#[garde(allow_unvalidated)]
+pub struct Admission {
+    /// Connections that an address may have open; a known one four times as many.
+    #[garde(range(min = 1, max = 1_000_000))]
+    pub per_address: u32,
+    /// Connections that a prefix (IPv4 /24, IPv6 /64) may have open, known addresses in it aside.
+    #[garde(range(min = 1, max = 1_000_000))]
+    pub per_prefix: u32,
+    /// Connections that an address may open in a second, and so many at once.
+    #[garde(range(min = 0.01, max = 1e6))]
+    pub per_second: f64,
+    /// Connections that have not finished their handshake.
+    #[garde(range(min = 1, max = 1_000_000))]
+    pub handshakes: u32,
+    /// The same by address.
+    #[garde(range(min = 1, max = 1_000_000))]
+    pub handshakes_per_address: u32,
+    /// Share of the connections kept for known clients.
+    #[garde(range(min = 0.0, max = 0.95))]
+    pub reserve: f64,
+    /// Share of them, inside the reserve, kept for the dearest plans.
+    #[garde(range(min = 0.0, max = 0.95))]
+    pub preferred: f64,
+    /// Addresses that are remembered as known.
+    #[garde(range(min = 0, max = 10_000_000))]
+    pub known: usize,
+    /// Addresses that one account can make known.
+    #[garde(range(min = 1, max = 1_000_000))]
+    pub known_per_account: usize,
+    /// How long after its last served request an address stays known, in seconds.
+    #[garde(range(min = 1, max = 31_536_000))]
+    pub known_for_s: u64,
+    /// Addresses and blocks that are always known, such as `10.1.0.0/16`.
+    pub named: Vec<String>,
+    /// Where the known are kept over a restart; none: they are not.
+    pub snapshot: Option<PathBuf>,
+    /// Refusals a second that get a word; more are closed without one.
+    #[garde(range(min = 1.0, max = 1e6))]
+    pub words_per_s: f64,
+    /// A connection without a call is closed after this.
+    #[garde(range(min = 10, max = 86_400_000))]
+    pub idle_ms: u64,
+    /// Bytes a second that a call's message must come with, and answers be read with, after `front.patience_ms`.
+    #[garde(range(min = 1, max = 1_000_000_000))]
+    pub bytes_per_s: u64,
+}
+
+impl Default for Admission {
+    fn default() -> Self {
+        Admission {
+            per_address: 256,
+            per_prefix: 1024,
+            per_second: 200.0,
+            handshakes: 1024,
+            handshakes_per_address: 128,
+            reserve: 0.3,
+            preferred: 0.1,
+            known: 50_000,
+            known_per_account: 64,
+            known_for_s: 86_400,
+            named: Vec::new(),
+            snapshot: None,
+            words_per_s: 500.0,
+            idle_ms: 600_000,
+            bytes_per_s: 1000,
+        }
+    }
+}
+
+/// How the process's descriptors are split. Clients have what is left, `front.max_connections` at most.
+#[derive(Clone, Debug, Serialize, Deserialize, JsonSchema, Validate)]
+#[serde(deny_unknown_fields, default)]
+#[garde(allow_unvalidated)]
+pub struct Descriptors {
+    /// Listeners, and what the runtime needs for itself.
+    #[garde(range(min = 4, max = 100_000))]
+    pub listeners: u64,
+    /// Connections to nodes.
+    #[garde(range(min = 1, max = 1_000_000))]
+    pub nodes: u64,
+    /// Between ingresses.
+    #[garde(range(min = 1, max = 100_000))]
+    pub peers: u64,
+    /// Files.
+    #[garde(range(min = 4, max = 100_000))]
+    pub files: u64,
+    /// Connections that are being refused, or come in while another leaves.
+    #[garde(range(min = 1, max = 100_000))]
+    pub spare: u64,
+}
+
+impl Default for Descriptors {
+    fn default() -> Self {
+        Descriptors { listeners: 16, nodes: 256, peers: 8, files: 32, spare: 16 }
+    }
+}
+
 /// Reads settings from a script's text; `file` is its name for complaints, `given` what the script is given.
 ///
 /// # Errors
--- a/crates/gateway/src/telemetry.rs
+++ b/crates/gateway/src/telemetry.rs
@@ -26,6 +26,14 @@
     connections,
     /// Connections of clients that were given up for an error of theirs.
     connections_bad,
+    /// Connections of clients that were refused.
+    connections_refused,
+    /// Idle connections that were closed to make room.
+    connections_evicted,
+    /// Times that accepting failed for want of a resource.
+    accept_failed,
+    /// Calls and connections given up because they moved too slowly.
+    too_slow,
     /// Calls that were answered without the module: not understood.
     invalid,
     /// Requests that the module was told of.
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -57,6 +57,7 @@
     links: HashMap<u64, Link>,
     pools: BTreeMap<BackendId, Vec<u64>>,
     next: u64,
+    most: usize,
 }
 
 /// What every connection's task needs.
@@ -69,8 +70,9 @@
 
 impl Links {
     pub fn new(runtime: Shared, settings: Arc<Compiled>, driver: Sender<Input>, kill: Receiver<()>) -> Self {
+        let most = settings.settings.descriptors.nodes as usize;
         let world = World { runtime, settings, driver };
-        Links { world, kill, links: HashMap::new(), pools: BTreeMap::new(), next: 1 }
+        Links { world, kill, links: HashMap::new(), pools: BTreeMap::new(), next: 1, most }
     }
 
     /// Hands a call to a connection and gives its number; none if all are full.
@@ -93,7 +95,8 @@
         let usable = pool.iter().filter(|n| links[*n].usable.load(Ordering::Relaxed)).count();
         let number = match pool.iter().filter(open).min_by_key(|n| links[*n].out) {
             Some(n) => *n,
-            None if usable < connections && pool.len() < 2 * connections => {
+            // As many as have a descriptor set aside for them, whatever clients hold.
+            None if usable < connections && pool.len() < 2 * connections && links.len() < self.most => {
                 let n = self.next;
                 self.next += 1;
                 // A start and a stop for each of the calls that `out` allows, and the word to close.
--- a/crates/lab/days/bad-day.star
+++ b/crates/lab/days/bad-day.star
@@ -10,7 +10,8 @@
     "ingresses": 3,
     "zones": ["bldg-a", "bldg-b", "bldg-c"],
     "settings": {
-        "front": {"answer_margin_ms": 40, "default_class": "sig-check"},
+        "front": {"answer_margin_ms": 40, "default_class": "sig-check", "max_connections": 120},
+        "descriptors": {"nodes": 64},
         "classes": [
             {"name": "sig-check", "aim_ms": 400, "deadline_ms": 1600, "worth": 1.0, "repeat": "safe"},
             {"name": "report-upload", "aim_ms": 800, "deadline_ms": 2500, "worth": 3.0, "late_worth": 0.2,
@@ -64,6 +65,7 @@
         trouble("scan", 98.0, 6.0, strength = 20.0),
         trouble("class_fail", 100.0, 3.0, which = [3, 5], group = "report-upload", strength = 0.8),
         trouble("balancer_stall", 103.0, 1.2, which = [1]),
+        trouble("flood", 30.0, 10.0, which = [0, 1], strength = 400.0),
         trouble("zone_cut", 104.0, 6.0, which = [2]),
         trouble("balancer_roll", 112.0, 0.5, which = [2]),
     ],
--- a/crates/lab/days/short.star
+++ b/crates/lab/days/short.star
@@ -10,7 +10,8 @@
     "ingresses": 3,
     "zones": ["bldg-a", "bldg-b", "bldg-c"],
     "settings": {
-        "front": {"answer_margin_ms": 40, "default_class": "sig-check"},
+        "front": {"answer_margin_ms": 40, "default_class": "sig-check", "max_connections": 120},
+        "descriptors": {"nodes": 64},
         "classes": [
             {"name": "sig-check", "aim_ms": 400, "deadline_ms": 1600, "worth": 1.0, "repeat": "safe"},
             {"name": "report-upload", "aim_ms": 800, "deadline_ms": 2500, "worth": 3.0, "late_worth": 0.2,
@@ -56,6 +57,7 @@
         trouble("node_roll", 6.0, 0.8, which = [7]),
         trouble("peer_loss", 7.0, 1.0, strength = 0.5),
         trouble("balancer_roll", 8.0, 0.3, which = [2]),
+        trouble("flood", 2.5, 3.0, which = [0], strength = 300.0),
         trouble("mute", 9.0, 1.0, which = [5]),
     ],
 }
--- a/crates/lab/src/day.rs
+++ b/crates/lab/src/day.rs
@@ -248,6 +248,8 @@
     HeavyTail,
     /// Accounts that send one request each and are not seen again, `strength` a second.
     Scan,
+    /// `strength` connections a second from two hundred addresses, held idle, at the ingresses `which`.
+    Flood,
     /// Accounts shift their traffic to others of their ingresses at one stroke.
     Shift,
     /// Messages between ingresses are lost, `strength` of them.
--- a/crates/lab/src/drill.rs
+++ b/crates/lab/src/drill.rs
@@ -7,6 +7,7 @@
 use chalkgap::settings::{self, Group, Repeat, Settings, SettingsError};
 use chalkgap::{Instance, StartError};
 use chalkgap_standin::client::{Ask, Client};
+use chalkgap_standin::flood;
 use chalkgap_standin::journal::{Answer, Journal, Seen};
 use chalkgap_standin::network::{Relay, Weather};
 use chalkgap_standin::node::{Cell, Faults, Machine, Node};
@@ -362,7 +363,7 @@
                 std::fs::write(&file, format!("settings = {}\n", literal(&value)))
                     .map_err(io_error(file.display().to_string()))?;
                 let child = Command::new(program)
-                    .arg("serve")
+                    .args(["--log-filter", "warn", "serve"])
                     .arg(&file)
                     .stdin(Stdio::null())
                     .stdout(Stdio::piped())
@@ -627,6 +628,31 @@
                 self.pause(t.lasts).await;
                 lock(&self.mood).burst = 1.0;
             }
+            Kind::Flood => {
+                let until = self.runtime.now() + (t.lasts * 1e6) as Micros;
+                let floods: Vec<_> = self
+                    .which(t, ingresses, seed)
+                    .into_iter()
+                    .map(|n| {
+                        let to = lock(&self.slots)[n].grpc;
+                        let plan = flood::Plan {
+                            to,
+                            addresses: 200,
+                            per_second: t.strength.max(1.0),
+                            hold: 300,
+                            until,
+                        };
+                        flood::start(&self.runtime, plan)
+                    })
+                    .collect();
+                for (task, seen) in floods {
+                    task.await;
+                    let seen = lock(&seen).clone();
+                    let (entered, told, closed, hanging) =
+                        (seen.entered, seen.told, seen.closed, seen.hanging);
+                    tracing::info!(entered, told, closed, hanging, "drill: flood over");
+                }
+            }
             Kind::Reconnect => lock(&self.clients).clear(),
             Kind::RetryAbuse => {
                 lock(&self.mood).abuse = true;
--- a/crates/pipe/src/lib.rs
+++ b/crates/pipe/src/lib.rs
@@ -39,8 +39,8 @@
     commands: Pin<Box<Receiver<C>>>,
     signal: Option<Pin<Box<Receiver<()>>>>,
     alarm: Alarm,
-    /// Since when unwritten bytes lie without one of them having moved.
-    stuck: Option<Micros>,
+    /// Since when unwritten bytes lie, and how many were written meanwhile.
+    backlog: Option<(Micros, u64)>,
 }
 
 impl<C> Pipe<C> {
@@ -54,12 +54,17 @@
     ) -> Self {
         let alarm = Alarm::new(runtime.clone());
         let (commands, signal) = (Box::pin(commands), Some(Box::pin(signal)));
-        Pipe { runtime, stream, conn, commands, signal, alarm, stuck: None }
+        Pipe { runtime, stream, conn, commands, signal, alarm, backlog: None }
     }
 
-    /// Since when the peer has read nothing of what lies for it.
-    pub fn stuck(&self) -> Option<Micros> {
-        self.stuck
+    /// Since when there have always been unwritten bytes, and how many the peer has read since.
+    pub fn backlog(&self) -> Option<(Micros, u64)> {
+        self.backlog
+    }
+
+    /// Waits for another signal's other end from now on.
+    pub fn watch(&mut self, signal: Receiver<()>) {
+        self.signal = Some(Box::pin(signal));
     }
 
     /// A command that is there already.
@@ -73,17 +78,19 @@
             loop {
                 let output = self.conn.output();
                 if output.is_empty() {
-                    self.stuck = None;
+                    self.backlog = None;
                     break;
                 }
                 match Pin::new(&mut self.stream).poll_write(cx, output) {
                     Poll::Ready(Ok(n)) if n > 0 => {
                         output.advance(n);
-                        self.stuck = None;
+                        if let Some((_, written)) = &mut self.backlog {
+                            *written += n as u64;
+                        }
                     }
                     Poll::Ready(_) => return Poll::Ready(Turn::Closed),
                     Poll::Pending => {
-                        self.stuck = self.stuck.or_else(|| Some(self.runtime.now()));
+                        self.backlog = self.backlog.or_else(|| Some((self.runtime.now(), 0)));
                         break;
                     }
                 }
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -9,7 +9,7 @@
 use futures_lite::{AsyncRead, AsyncWrite};
 use std::future::Future;
 use std::io;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::path::Path;
 use std::pin::Pin;
 use std::sync::Arc;
@@ -74,8 +74,16 @@
     /// # Errors
     /// The system's.
     fn listen(&self, at: SocketAddr) -> io::Result<Box<dyn Listener>>;
+    /// Connects a stream; `from`: the address of this side, where it matters which of its own it is.
+    fn connect_from(
+        &self,
+        from: Option<IpAddr>,
+        to: SocketAddr,
+    ) -> BoxFuture<'static, io::Result<Box<dyn Stream>>>;
     /// Connects a stream.
-    fn connect(&self, to: SocketAddr) -> BoxFuture<'static, io::Result<Box<dyn Stream>>>;
+    fn connect(&self, to: SocketAddr) -> BoxFuture<'static, io::Result<Box<dyn Stream>>> {
+        self.connect_from(None, to)
+    }
     /// Binds a socket for datagrams.
     ///
     /// # Errors
@@ -85,6 +93,8 @@
     fn files(&self) -> &dyn Files;
     /// A random number, not to be guessed.
     fn random(&self) -> u64;
+    /// How many descriptors the process may have open, as of now.
+    fn descriptors(&self) -> u64;
 }
 
 /// A timer that is set again and again: the sleeping future is made anew only when it has to end earlier, or ended.
--- a/crates/runtime/src/system.rs
+++ b/crates/runtime/src/system.rs
@@ -202,8 +202,29 @@
         Ok(Box::new(TcpDoor { listener, address }))
     }
 
-    fn connect(&self, to: SocketAddr) -> BoxFuture<'static, io::Result<Box<dyn Stream>>> {
-        Box::pin(async move { Tcp::boxed(Async::<TcpStream>::connect(to).await?, to) })
+    fn connect_from(
+        &self,
+        from: Option<IpAddr>,
+        to: SocketAddr,
+    ) -> BoxFuture<'static, io::Result<Box<dyn Stream>>> {
+        Box::pin(async move {
+            let Some(from) = from else { return Tcp::boxed(Async::<TcpStream>::connect(to).await?, to) };
+            let socket = Socket::new(Domain::for_address(to), Type::STREAM, Some(Protocol::TCP))?;
+            socket.bind(&SocketAddr::new(from, 0).into())?;
+            socket.set_nonblocking(true)?;
+            match socket.connect(&to.into()) {
+                Err(e) if e.raw_os_error() != Some(rustix::io::Errno::INPROGRESS.raw_os_error()) => {
+                    return Err(e)
+                }
+                _ => {}
+            }
+            let stream = Async::new(TcpStream::from(socket))?;
+            stream.writable().await?;
+            match stream.get_ref().take_error()? {
+                Some(e) => Err(e),
+                None => Tcp::boxed(stream, to),
+            }
+        })
     }
 
     fn datagrams(&self, at: SocketAddr) -> io::Result<Box<dyn Datagrams>> {
@@ -219,6 +240,11 @@
     fn random(&self) -> u64 {
         rand::random()
     }
+
+    fn descriptors(&self) -> u64 {
+        // None: no limit.
+        rustix::process::getrlimit(rustix::process::Resource::Nofile).current.unwrap_or(u64::MAX)
+    }
 }
 
 #[cfg(test)]
--- a/crates/wire/src/http2/conn.rs
+++ b/crates/wire/src/http2/conn.rs
@@ -175,6 +175,7 @@
     calm: f64,
     calm_at: u64,
     now: u64,
+    received: u64,
     ended: Option<ConnError>,
 }
 
@@ -240,6 +241,7 @@
             calm: f64::from(cfg.calm_burst) + 2.0 * f64::from(cfg.max_streams),
             calm_at: 0,
             now: 0,
+            received: 0,
             ended: None,
             cfg,
         }
@@ -255,6 +257,7 @@
             return Err(e);
         }
         self.now = now;
+        self.received += bytes.len() as u64;
         self.input.extend_from_slice(bytes);
         let taken = self.take();
         if let Err(e) = taken {
@@ -274,6 +277,16 @@
         &mut self.output
     }
 
+    /// Bytes that came so far.
+    pub fn received(&self) -> u64 {
+        self.received
+    }
+
+    /// Whether the peer is in the middle of its preface, a frame or a header block.
+    pub fn midway(&self) -> bool {
+        !self.input.is_empty() || self.block.is_some() || (self.preface > 0 && self.preface < PREFACE.len())
+    }
+
     /// Streams that are open, by either side.
     pub fn open_streams(&self) -> usize {
         self.streams.len()
@@ -406,6 +419,12 @@
         }
     }
 
+    /// Tells the peer to go away for now, with a text for people; nothing that it opened or opens counts. To be told
+    /// where no request was taken; the stream is closed a moment later.
+    pub fn calm(&mut self, text: &str) {
+        write_goaway(&mut self.output, 0, Code::ENHANCE_YOUR_CALM, text.as_bytes());
+    }
+
     /// Gives the connection up for a reason of the caller's, such as a peer that is too slow.
     pub fn abort(&mut self, error: ConnError) {
         if self.ended.is_some() {
