--- /dev/null
+++ b/crates/lab/benches/admission.rs
@@ -0,0 +1,251 @@
+//! Connection admission under floods: known clients' calls beside a flood, how fast the flooded are refused, what a
+//! refusal costs, and how cost grows with sockets. The ingress runs in a process of its own; times are ratios in one run.
+//!
+//! `cargo bench -p chalkgap-lab --bench admission`
+
+use chalkgap::nodes::{Node as Line, NodeList, State};
+use chalkgap::runtime::{system::System, Shared};
+use chalkgap::settings;
+use chalkgap::Instance;
+use chalkgap_admission::known::Places;
+use chalkgap_admission::{Admission, Budget, Caps, ConnId, Known};
+use chalkgap_standin::client::{Ask, Client};
+use chalkgap_standin::flood::{self, knock, Knock, Plan};
+use chalkgap_standin::journal::{Answer, Journal};
+use chalkgap_standin::node::{Machine, Node};
+use std::io::{BufRead, BufReader};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::process::{Child, Command, Stdio};
+use std::sync::{Arc, Mutex};
+use std::time::Instant;
+
+const SETTINGS: &str = r#"
+settings = {
+    "fleet": {"ingresses": 1, "me": 0, "zones": ["a"], "zone": "a"},
+    "front": {"listen": "127.0.0.1:0", "max_connections": int(given["clients"])},
+    "classes": [{"name": "c", "aim_ms": 2000, "deadline_ms": 4000, "repeat": "safe"}],
+    "plans": [{"name": "all", "rate": 1e8, "burst": 1e8}],
+    "accounts": {"one": {"plan": "all"}},
+    "admission": {"named": ["127.0.0.1"], "handshakes": 20000, "per_prefix": 20000, "per_second": 20000,
+                  "idle_ms": 600000},
+    "rules": {"drain_grace_ms": 2000, "cold_from": 0.2, "cold_ms": 0, "fall_factor": 3.0, "fall_ms": 2000},
+    "nodes": {"source": "handle"},
+}
+"#;
+
+fn server(clients: &str) {
+    let system = System::new();
+    let clients = clients.to_owned();
+    system.clone().run(async move {
+        let node = Node::start(
+            system.clone(),
+            ([127, 0, 0, 1], 0).into(),
+            Machine { cores: 1000, ..Machine::default() },
+            Journal::nowhere(),
+        )
+        .unwrap();
+        let settings = settings::read("bench", SETTINGS.into(), &[("clients".into(), clients)]).unwrap();
+        let ingress = Instance::start(settings, system.clone()).await.unwrap();
+        let line = Line {
+            address: node.address(),
+            zone: "a".into(),
+            cell: String::new(),
+            kind: String::new(),
+            state: State::Ready,
+            size: 1.0,
+            started_ms: 0,
+        };
+        ingress.nodes(NodeList { revision: 1, nodes: vec![line] }).await;
+        println!("{}", ingress.grpc_address());
+        std::future::pending::<()>().await;
+    });
+}
+
+struct Server(Child, SocketAddr);
+
+impl Server {
+    fn start(clients: u32) -> Server {
+        let mut child = Command::new(std::env::current_exe().unwrap())
+            .args(["server", &clients.to_string()])
+            .stdout(Stdio::piped())
+            .spawn()
+            .unwrap();
+        let line = BufReader::new(child.stdout.take().unwrap()).lines().next().unwrap().unwrap();
+        Server(child, line.parse().unwrap())
+    }
+
+    fn cpu(&self) -> f64 {
+        let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.0.id())).unwrap();
+        let rest: Vec<&str> = stat.rsplit(')').next().unwrap().split_whitespace().collect();
+        (rest[11].parse::<f64>().unwrap() + rest[12].parse::<f64>().unwrap()) / 100.0
+    }
+
+    fn memory(&self) -> f64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.0.id())).unwrap();
+        let line = status.lines().find(|l| l.starts_with("VmRSS:")).unwrap();
+        line.split_whitespace().nth(1).unwrap().parse().unwrap()
+    }
+}
+
+impl Drop for Server {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+/// A known client's calls, a thousand a second for some seconds, each fiftieth on a connection of its own. The share
+/// that was served, and the times of the calls, sorted.
+async fn calls(runtime: &Shared, to: SocketAddr, seconds: f64) -> (f64, Vec<u64>) {
+    let shared = Arc::new(Client::connect(runtime.clone(), to, 0, Journal::nowhere()).await.unwrap());
+    let times = Arc::new(Mutex::new((0u64, Vec::new())));
+    let (begun, count) = (runtime.now(), (seconds * 1000.0) as u64);
+    let mut tasks = Vec::new();
+    for call in 0..count {
+        let due = begun + call * 1000;
+        if due > runtime.now() {
+            runtime.sleep_until(due).await;
+        }
+        let (world, shared, times) = (runtime.clone(), shared.clone(), times.clone());
+        tasks.push(runtime.spawn(Box::pin(async move {
+            let ask = Ask {
+                call,
+                account: "one".into(),
+                class: "c".into(),
+                units: 1,
+                key: None,
+                timeout: 3_000_000,
+            };
+            let answer = if call % 50 == 0 {
+                match Client::connect(world.clone(), to, 0, Journal::nowhere()).await {
+                    Ok(client) => client.call(&ask).await.answer,
+                    Err(_) => Answer::NotTaken,
+                }
+            } else {
+                shared.call(&ask).await.answer
+            };
+            let mut all = times.lock().unwrap();
+            all.0 += u64::from(answer == Answer::Served);
+            all.1.push(world.now() - due);
+        })));
+    }
+    for t in tasks {
+        t.await;
+    }
+    let mut all = times.lock().unwrap();
+    all.1.sort_unstable();
+    (all.0 as f64 / count as f64, std::mem::take(&mut all.1))
+}
+
+fn at(times: &[u64], share: f64) -> f64 {
+    let n = ((times.len() as f64 * share) as usize).min(times.len().max(1) - 1);
+    times.get(n).copied().unwrap_or(0) as f64 / 1000.0
+}
+
+/// Nanoseconds of the decider for a connection that is offered, by the number of addresses.
+fn decider(addresses: u32) -> f64 {
+    let caps = Caps {
+        per_address: 10,
+        per_prefix: 100,
+        per_second: 10.0,
+        handshakes: 1000,
+        handshakes_per_address: 10,
+        reserve: 0.3,
+        preferred: 0.1,
+        remembered: 50_000,
+        words_per_s: 500.0,
+    };
+    let known = Known::new(Places { most: 50_000, per_account: 64, lasts: 1 << 40 }, Vec::new());
+    let mut a = Admission::new(caps, Budget { clients: 10_000, nodes: 256, spare: 16 }, known);
+    let begun = Instant::now();
+    for n in 0..1_000_000u64 {
+        let address: IpAddr = Ipv4Addr::from((n as u32).wrapping_mul(2_654_435_761) % addresses * 257).into();
+        let now = 1_000_000 + n * 10;
+        a.offered(now, ConnId(n), address);
+        if n >= 5000 {
+            a.closed(now, ConnId(n - 5000));
+        }
+    }
+    begun.elapsed().as_secs_f64() * 1e9 / 1e6
+}
+
+fn main() {
+    let args: Vec<String> = std::env::args().skip(1).filter(|a| a != "--bench").collect();
+    if let [what, clients] = &args[..] {
+        if what == "server" {
+            return server(clients);
+        }
+    }
+    let system = System::new();
+    system.threads(1);
+    let runtime: Shared = system.clone();
+    println!("| flood, connections a second | known served | their p50 / p99 ms | p99 to calm | refused, p50 / p99 ms | hanging | CPU us a refusal |");
+    println!("| --- | --- | --- | --- | --- | --- | --- |");
+    let (mut calm_p99, mut calm_cpu, seconds) = (0.0, 0.0, 4.0);
+    for rate in [0.0, 100.0, 1000.0, 3000.0] {
+        let server = Server::start(300);
+        let (served, times, seen, cpu) = system.clone().run(async {
+            let to = server.1;
+            let until = runtime.now() + (seconds * 1e6) as u64 + 1_500_000;
+            let plan = Plan { to, addresses: 5000, per_second: rate, hold: 5000, until };
+            let flood = (rate > 0.0).then(|| flood::start(&runtime, plan));
+            runtime.sleep_until(runtime.now() + 1_000_000).await; // what is free to the flood is taken
+            let seen = || flood.as_ref().map(|f| f.1.lock().unwrap().clone()).unwrap_or_default();
+            let (cpu, before) = (server.cpu(), seen().refusals.len());
+            let (served, times) = calls(&runtime, to, seconds).await;
+            let cpu = server.cpu() - cpu;
+            let mut seen = seen();
+            seen.refusals.drain(..before);
+            if let Some((task, _)) = flood {
+                task.await;
+            }
+            (served, times, seen, cpu)
+        });
+        let p99 = at(&times, 0.99);
+        if rate == 0.0 {
+            (calm_p99, calm_cpu) = (p99, cpu);
+        }
+        let mut refusals = seen.refusals.clone();
+        refusals.sort_unstable();
+        let each = (cpu - calm_cpu) * 1e6 / refusals.len().max(1) as f64;
+        println!(
+            "| {rate} | {:.2}% | {:.2} / {p99:.2} | {:.2} | {}, {:.2} / {:.2} | {} | {:.0} |",
+            served * 100.0,
+            at(&times, 0.5),
+            p99 / calm_p99,
+            refusals.len(),
+            at(&refusals, 0.5),
+            at(&refusals, 0.99),
+            seen.hanging,
+            if rate == 0.0 { 0.0 } else { each }
+        );
+    }
+    println!("\n| idle sockets held | let in | known served | p50 / p99 ms | CPU us a call | KiB a socket |");
+    println!("| --- | --- | --- | --- | --- | --- |");
+    for sockets in [100u32, 1000, 10_000] {
+        let server = Server::start(12_000);
+        let to = server.1;
+        system.clone().run(async {
+            let before = server.memory();
+            let mut held = Vec::new();
+            for n in 0..sockets {
+                if let (Knock::In, _, Some(stream)) = knock(&runtime, Some(flood::address(n)), to).await {
+                    held.push(stream);
+                }
+            }
+            let each = (server.memory() - before) / held.len().max(1) as f64;
+            let cpu = server.cpu();
+            let (served, times) = calls(&runtime, to, 3.0).await;
+            let cpu = (server.cpu() - cpu) * 1e6 / times.len() as f64;
+            println!(
+                "| {sockets} | {} | {:.2}% | {:.2} / {:.2} | {cpu:.0} | {each:.1} |",
+                held.len(),
+                served * 100.0,
+                at(&times, 0.5),
+                at(&times, 0.99)
+            );
+        });
+    }
+    let costs = [100, 10_000, 1_000_000].map(decider);
+    println!("\nDecider, a connection offered and closed: {:.0} / {:.0} / {:.0} ns with 100 / 10,000 / 1,000,000 addresses", costs[0], costs[1], costs[2]);
+}
--- a/crates/lab/src/audit.rs
+++ b/crates/lab/src/audit.rs
@@ -258,7 +258,13 @@
                         v.hopeless += 1;
                     } else {
                         let late = *at - a.deadline;
-                        say(1, *at, format!("call {call}: answered {late} us after its time, {answer:?}"));
+                        let (class, ingress, had) = (a.class, a.ingress, (a.deadline - a.at) / 1000);
+                        let tries: Vec<u64> = tries.iter().map(|t| t.0.saturating_sub(a.at) / 1000).collect();
+                        let what = format!(
+                            "call {call} ({class}, ingress {ingress}, {had} ms, tries arrived at {tries:?}): answered \
+                             {late} us after its time, {answer:?}"
+                        );
+                        say(1, *at, what);
                     }
                 }
                 match answer {
