ledger: a store on files with group commit, stopped for good by a failed write or sync

The log on the runtime's file trait, which has appending files now. A crash at every write, sync and opening of a recorded run, with none, a part or all of the unsynced bytes kept, and again during the recovery: no acknowledged entry lost, none doubled, in order. ENOSPC and EIO at every step: nothing is acknowledged after. Damage is told with its first byte.

--- /dev/null
+++ b/crates/ledger/tests/store.rs
@@ -0,0 +1,284 @@
+//! The store on a disk that crashes at every write and sync, and fails in its other ways.
+
+use chalkgap_ledger::store::{incarnation, Store, StoreError};
+use chalkgap_ledger::{Entry, Id, What};
+use chalkgap_runtime::system::System;
+use chalkgap_runtime::*;
+use futures_lite::future::block_on;
+use std::collections::BTreeMap;
+use std::io;
+use std::net::{IpAddr, SocketAddr};
+use std::path::{Path, PathBuf};
+use std::sync::{Arc, Mutex};
+
+/// A file: what is on the disk, and what is written but not synced.
+#[derive(Clone, Default)]
+struct Content {
+    safe: Vec<u8>,
+    loose: Vec<u8>,
+}
+
+#[derive(Default)]
+struct Drive {
+    files: BTreeMap<PathBuf, Content>,
+    /// Steps (writes, syncs, openings) so far; the one that crashes, or fails with an error.
+    steps: u64,
+    crash_at: Option<u64>,
+    fail_at: Option<(u64, i32)>,
+}
+
+impl Drive {
+    fn step(&mut self) -> io::Result<()> {
+        self.steps += 1;
+        if self.crash_at.is_some_and(|n| self.steps > n) {
+            return Err(io::Error::other("crashed"));
+        }
+        match self.fail_at {
+            Some((n, errno)) if n == self.steps => Err(io::Error::from_raw_os_error(errno)),
+            _ => Ok(()),
+        }
+    }
+
+    /// What a crash leaves: all that is safe, and any part of what is loose.
+    fn after_crash(&self, part: usize) -> Drive {
+        let keep = |c: &Content| {
+            let loose = &c.loose[..c.loose.len() * part / 4];
+            Content { safe: [&c.safe[..], loose].concat(), loose: Vec::new() }
+        };
+        Drive { files: self.files.iter().map(|(p, c)| (p.clone(), keep(c))).collect(), ..Drive::default() }
+    }
+}
+
+/// A world whose files are in memory; all else is the system's.
+struct World(Arc<System>, Memory);
+
+#[derive(Clone)]
+struct Memory(Arc<Mutex<Drive>>);
+
+struct Handle(Memory, PathBuf);
+
+impl Append for Handle {
+    fn append<'a>(&'a mut self, bytes: Vec<u8>) -> BoxFuture<'a, io::Result<()>> {
+        Box::pin(async move {
+            let mut d = self.0 .0.lock().unwrap();
+            let done = d.step();
+            let file = d.files.get_mut(&self.1).unwrap();
+            // A failing write may have written a part.
+            let n = if done.is_ok() { bytes.len() } else { bytes.len() / 2 };
+            file.loose.extend_from_slice(&bytes[..n]);
+            done
+        })
+    }
+
+    fn sync<'a>(&'a mut self) -> BoxFuture<'a, io::Result<()>> {
+        Box::pin(async move {
+            let mut d = self.0 .0.lock().unwrap();
+            d.step()?;
+            let file = d.files.get_mut(&self.1).unwrap();
+            let loose = std::mem::take(&mut file.loose);
+            file.safe.extend(loose);
+            Ok(())
+        })
+    }
+}
+
+impl Files for Memory {
+    fn append<'a>(&'a self, path: &'a Path, len: u64) -> BoxFuture<'a, io::Result<Box<dyn Append>>> {
+        Box::pin(async move {
+            let mut d = self.0.lock().unwrap();
+            d.step()?;
+            let file = d.files.entry(path.to_owned()).or_default();
+            file.safe.truncate(len as usize);
+            Ok(Box::new(Handle(self.clone(), path.to_owned())) as Box<dyn Append>)
+        })
+    }
+    fn names<'a>(&'a self, _: &'a Path) -> BoxFuture<'a, io::Result<Vec<String>>> {
+        let names = self
+            .0
+            .lock()
+            .unwrap()
+            .files
+            .keys()
+            .map(|p| p.file_name().unwrap().to_str().unwrap().to_owned())
+            .collect();
+        Box::pin(async move { Ok(names) })
+    }
+    fn read<'a>(&'a self, path: &'a Path, _: u64) -> BoxFuture<'a, io::Result<Vec<u8>>> {
+        Box::pin(async move { Ok(self.0.lock().unwrap().files[path].safe.clone()) })
+    }
+    fn replace<'a>(&'a self, _: &'a Path, _: Vec<u8>) -> BoxFuture<'a, io::Result<()>> {
+        Box::pin(async { Err(io::ErrorKind::Unsupported.into()) })
+    }
+    fn stamp<'a>(&'a self, _: &'a Path) -> BoxFuture<'a, io::Result<(Micros, u64)>> {
+        Box::pin(async { Err(io::ErrorKind::Unsupported.into()) })
+    }
+}
+
+impl Runtime for World {
+    fn now(&self) -> Micros {
+        self.0.now()
+    }
+    fn sleep_until(&self, at: Micros) -> BoxFuture<'static, ()> {
+        self.0.sleep_until(at)
+    }
+    fn spawn(&self, task: BoxFuture<'static, ()>) -> Task {
+        self.0.spawn(task)
+    }
+    fn listen(&self, at: SocketAddr) -> io::Result<Box<dyn Listener>> {
+        self.0.listen(at)
+    }
+    fn connect_from(
+        &self,
+        from: Option<IpAddr>,
+        to: SocketAddr,
+    ) -> BoxFuture<'static, io::Result<Box<dyn Stream>>> {
+        self.0.connect_from(from, to)
+    }
+    fn datagrams(&self, at: SocketAddr) -> io::Result<Box<dyn Datagrams>> {
+        self.0.datagrams(at)
+    }
+    fn files(&self) -> &dyn Files {
+        &self.1
+    }
+    fn random(&self) -> u64 {
+        self.0.random()
+    }
+    fn descriptors(&self) -> u64 {
+        self.0.descriptors()
+    }
+}
+
+fn world(drive: Drive) -> (Shared, Memory) {
+    let memory = Memory(Arc::new(Mutex::new(drive)));
+    (Arc::new(World(System::new(), memory.clone())), memory)
+}
+
+fn entry(number: u64) -> Entry {
+    let what = What::Settled { open: number, units: number, presumed: false };
+    Entry { id: Id { ingress: 1, incarnation: 5, number }, at: number, what }
+}
+
+/// Commits groups of three until something stops it; the number of entries that were acknowledged.
+fn run(runtime: &Shared, from: u64, groups: u64) -> u64 {
+    block_on(async {
+        let Ok((mut store, entries)) = Store::open(runtime.clone(), Path::new("/l"), 400).await else {
+            return 0;
+        };
+        let mut acknowledged = entries.len() as u64;
+        for g in 0..groups {
+            let first = from + 3 * g;
+            let group: Vec<Entry> = (first..first + 3).map(entry).collect();
+            match store.commit(&group).await {
+                Ok(()) => acknowledged = first + 2,
+                // Whatever it says later, nothing more is acknowledged.
+                Err(_) => assert!(matches!(store.commit(&group).await, Err(StoreError::Stopped(_)))),
+            }
+        }
+        acknowledged
+    })
+}
+
+fn entries(runtime: &Shared) -> Vec<Entry> {
+    block_on(async { Store::open(runtime.clone(), Path::new("/l"), 400).await.expect("no damage").1 })
+}
+
+/// A crash at every write, sync and opening of a run, each with nothing, a part or all of the unsynced bytes kept; then
+/// a crash at every step of the recovery that follows; then it goes on.
+#[test]
+fn a_crash_at_every_step() {
+    let (runtime, memory) = world(Drive::default());
+    assert_eq!(run(&runtime, 1, 12), 36);
+    let steps = memory.0.lock().unwrap().steps;
+    assert!(steps > 24 && memory.0.lock().unwrap().files.len() >= 3, "several segments");
+    for crash_at in 0..steps {
+        let (runtime, memory) = world(Drive { crash_at: Some(crash_at), ..Drive::default() });
+        let acknowledged = run(&runtime, 1, 12);
+        for part in 0..=4 {
+            let left = memory.0.lock().unwrap().after_crash(part);
+            for again in 0..4 {
+                let mut second = left.after_crash(0);
+                second.crash_at = Some(again);
+                let (runtime, memory) = world(second);
+                let _ = block_on(Store::open(runtime.clone(), Path::new("/l"), 400));
+                let (runtime, _) = world(memory.0.lock().unwrap().after_crash(part));
+                let found = entries(&runtime);
+                assert!(
+                    found.len() as u64 >= acknowledged,
+                    "crash at {crash_at}: an acknowledged entry is lost"
+                );
+                let expected: Vec<Entry> = (1..=found.len() as u64).map(entry).collect();
+                assert_eq!(found, expected, "crash at {crash_at}: in order, each once");
+                let next = found.len() as u64 + 1;
+                assert_eq!(run(&runtime, next, 2), next + 5, "it goes on");
+                assert_eq!(entries(&runtime).len() as u64, next + 5);
+            }
+        }
+    }
+}
+
+/// ENOSPC and EIO at every step: what was acknowledged before is there, and nothing is acknowledged after.
+#[test]
+fn a_failure_at_every_step_stops_it_for_good() {
+    for errno in [28, 5] {
+        for at in 1..30 {
+            let (runtime, memory) = world(Drive { fail_at: Some((at, errno)), ..Drive::default() });
+            let acknowledged = run(&runtime, 1, 12);
+            for part in 0..=4 {
+                let (runtime, _) = world(memory.0.lock().unwrap().after_crash(part));
+                let found = entries(&runtime).len() as u64;
+                assert!(
+                    found >= acknowledged && found <= acknowledged + 3,
+                    "{found} found, {acknowledged} told"
+                );
+            }
+        }
+    }
+}
+
+#[test]
+fn damage_is_told_and_nothing_is_written() {
+    let (runtime, memory) = world(Drive::default());
+    run(&runtime, 1, 12);
+    let paths: Vec<PathBuf> = memory.0.lock().unwrap().files.keys().cloned().collect();
+    let damaged = |change: &dyn Fn(&mut Drive)| {
+        let mut drive = memory.0.lock().unwrap().after_crash(0);
+        change(&mut drive);
+        let (runtime, changed) = world(drive);
+        let error = block_on(Store::open(runtime, Path::new("/l"), 400)).err().expect("damage");
+        assert_eq!(changed.0.lock().unwrap().steps, 0, "not even opened for writing");
+        error.to_string()
+    };
+    let flipped = damaged(&|d| d.files.get_mut(&paths[0]).unwrap().safe[100] ^= 4);
+    assert!(
+        flipped.starts_with("/l/0000000000000001.seg: byte ") && flipped.contains("does not fit"),
+        "{flipped}"
+    );
+    let short = damaged(&|d| d.files.get_mut(&paths[0]).unwrap().safe.truncate(200));
+    assert!(short.contains("torn, but others follow it") || short.contains("go on where"), "{short}");
+    let missing = damaged(&|d| drop(d.files.remove(&paths[1])));
+    assert!(missing.contains("does not go on where the segment before it ends"), "{missing}");
+}
+
+#[test]
+fn an_incarnation_is_later_than_all_that_are_in_the_log() {
+    let list: Vec<Entry> = (1..4).map(entry).collect();
+    assert_eq!(incarnation(&list, 1, 100), 100);
+    assert_eq!(incarnation(&list, 1, 3), 6, "the clock was set back");
+    assert_eq!(incarnation(&list, 2, 3), 3, "another's");
+}
+
+#[test]
+fn on_a_real_disk() {
+    let folder = std::env::temp_dir().join(format!("chalkgap-ledger-{}", std::process::id()));
+    let system = System::new();
+    system.clone().run(async {
+        for round in 0..3u64 {
+            let (mut store, found) = Store::open(system.clone(), &folder, 300).await.unwrap();
+            assert_eq!(found.len() as u64, 4 * round);
+            for n in 1..=4 {
+                store.commit(&[entry(4 * round + n)]).await.unwrap();
+            }
+        }
+    });
+    std::fs::remove_dir_all(folder).unwrap();
+}
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -51,8 +51,20 @@
     fn receive<'a>(&'a self, buffer: &'a mut [u8]) -> BoxFuture<'a, io::Result<(usize, SocketAddr)>>;
 }
 
-/// Files, as far as small ones are kept.
+/// A file that grows at its end.
+pub trait Append: Send {
+    /// Writes all of it at the end. After an error nobody knows how much of it is there.
+    fn append<'a>(&'a mut self, bytes: Vec<u8>) -> BoxFuture<'a, io::Result<()>>;
+    /// Ends when all that was appended is on the disk. After an error it may not be, whatever a second call says.
+    fn sync<'a>(&'a mut self) -> BoxFuture<'a, io::Result<()>>;
+}
+
+/// Files: small ones that are kept whole, and logs.
 pub trait Files: Send + Sync {
+    /// Opens a file to append to, made new and its folder synced where there is none, cut to `len` where it is longer.
+    fn append<'a>(&'a self, path: &'a Path, len: u64) -> BoxFuture<'a, io::Result<Box<dyn Append>>>;
+    /// The names in a folder, sorted; the folder is made where there is none.
+    fn names<'a>(&'a self, folder: &'a Path) -> BoxFuture<'a, io::Result<Vec<String>>>;
     /// Reads a whole file of at most `most` bytes; a longer one is an error of kind `FileTooLarge`.
     fn read<'a>(&'a self, path: &'a Path, most: u64) -> BoxFuture<'a, io::Result<Vec<u8>>>;
     /// Puts a file in place of another, whole or not at all: written beside it, synced, renamed, the folder synced.
--- a/crates/runtime/src/system.rs
+++ b/crates/runtime/src/system.rs
@@ -145,7 +145,61 @@
     written
 }
 
+/// The file and whether a write or sync of it has failed.
+struct Log(Option<fs::File>);
+
+impl Log {
+    /// Does something with the file on a thread that may block. A file is never used again after an error: the system
+    /// may have dropped what it could not write, and would say that all is well the next time.
+    async fn with(
+        &mut self,
+        act: impl FnOnce(&mut fs::File) -> io::Result<()> + Send + 'static,
+    ) -> io::Result<()> {
+        let Some(mut file) = self.0.take() else { return Err(io::Error::other("an earlier write failed")) };
+        let file = blocking::unblock(move || act(&mut file).map(|()| file)).await?;
+        self.0 = Some(file);
+        Ok(())
+    }
+}
+
+impl Append for Log {
+    fn append<'a>(&'a mut self, bytes: Vec<u8>) -> BoxFuture<'a, io::Result<()>> {
+        Box::pin(self.with(move |file| file.write_all(&bytes)))
+    }
+
+    fn sync<'a>(&'a mut self) -> BoxFuture<'a, io::Result<()>> {
+        Box::pin(self.with(|file| file.sync_data()))
+    }
+}
+
 impl Files for Disk {
+    fn append<'a>(&'a self, path: &'a Path, len: u64) -> BoxFuture<'a, io::Result<Box<dyn Append>>> {
+        let path = path.to_owned();
+        Box::pin(blocking::unblock(move || {
+            let file = fs::OpenOptions::new().create(true).append(true).open(&path)?;
+            if file.metadata()?.len() > len {
+                file.set_len(len)?;
+            }
+            file.sync_all()?;
+            let folder = path.parent().filter(|p| !p.as_os_str().is_empty()).unwrap_or(Path::new("."));
+            fs::File::open(folder)?.sync_all()?;
+            Ok(Box::new(Log(Some(file))) as Box<dyn Append>)
+        }))
+    }
+
+    fn names<'a>(&'a self, folder: &'a Path) -> BoxFuture<'a, io::Result<Vec<String>>> {
+        let folder = folder.to_owned();
+        Box::pin(blocking::unblock(move || {
+            fs::create_dir_all(&folder)?;
+            let mut names = Vec::new();
+            for entry in fs::read_dir(&folder)? {
+                names.extend(entry?.file_name().into_string().ok()); // others are not ours
+            }
+            names.sort();
+            Ok(names)
+        }))
+    }
+
     fn read<'a>(&'a self, path: &'a Path, most: u64) -> BoxFuture<'a, io::Result<Vec<u8>>> {
         let path = path.to_owned();
         Box::pin(blocking::unblock(move || {
