--- a/crates/cli/tests/scenarios.rs
+++ b/crates/cli/tests/scenarios.rs
@@ -4,12 +4,17 @@
 use chalkgap_lab::audit::Verdict;
 use chalkgap_lab::day::Day;
 use chalkgap_lab::drill::{play, Home};
+use std::sync::{Mutex, PoisonError};
 
 fn homes() -> [Home; 2] {
     [Home::Here, Home::Processes(env!("CARGO_BIN_EXE_chalkgap").into())]
 }
 
+/// One day at a time: days judge by times, and share two cores.
+static ALONE: Mutex<()> = Mutex::new(());
+
 fn run(script: &str, home: Home) -> Verdict {
+    let _alone = ALONE.lock().unwrap_or_else(PoisonError::into_inner);
     let day = Day::read("day.star", script.into(), &[]).expect("a good day");
     let system = System::new();
     system.threads(1);
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -90,3 +90,14 @@
 pub async fn pause(runtime: &Shared, ms: u64) {
     runtime.sleep_until(runtime.now() + ms * 1000).await;
 }
+
+/// Waits until something is so, for ten seconds at the most: a busy machine is slow, not wrong.
+pub async fn eventually(runtime: &Shared, what: &str, is: impl Fn() -> bool) {
+    for _ in 0..1000 {
+        if is() {
+            return;
+        }
+        pause(runtime, 10).await;
+    }
+    panic!("never came to be: {what}");
+}
