--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,6 +1,7 @@
 //! The `chalkgap` command: arguments, signals, logs. All else is in the library and the laboratory.
 
 mod drill;
+mod ledger;
 mod serve;
 mod tools;
 
@@ -65,6 +66,9 @@
     Standin(tools::Standin),
     /// Play a bad day through real ingresses and judge it.
     Drill(drill::Drill),
+    /// Read a billing ledger.
+    #[command(subcommand)]
+    Ledger(ledger::Ledger),
     /// Print completions for a shell.
     Completions {
         /// The shell.
@@ -111,6 +115,7 @@
         Command::Ask(a) => tools::ask(a),
         Command::Standin(s) => tools::standin(s),
         Command::Drill(d) => drill::run(d),
+        Command::Ledger(l) => ledger::run(l),
         Command::Completions { shell } => {
             clap_complete::generate(shell, &mut Args::command(), "chalkgap", &mut std::io::stdout());
             Exit::Good
--- a/crates/cli/tests/command.rs
+++ b/crates/cli/tests/command.rs
@@ -120,3 +120,42 @@
     std::fs::remove_file(list).unwrap();
     std::fs::remove_file(settings).unwrap();
 }
+
+#[test]
+fn a_ledger_is_shown_and_its_first_bad_byte_named() {
+    use chalkgap_ledger::{Entry, Id, Store, What};
+    let folder = std::env::temp_dir().join(format!("chalkgap-test-ledger-{}", std::process::id()));
+    let id = |number| Id { ingress: 1, incarnation: 9, number };
+    let open = What::Open {
+        account: "acme".into(),
+        plan: "team".into(),
+        class: "c".into(),
+        units: 4,
+        request: "r".into(),
+        node: "n".into(),
+    };
+    let ended = What::Settled { open: 1, units: 4, presumed: false };
+    let system = chalkgap::runtime::system::System::new();
+    system.clone().run(async {
+        let (mut store, _) = Store::open(system.clone(), &folder, 1 << 20).await.unwrap();
+        let list = [Entry { id: id(1), at: 90_000_000, what: open }, Entry { id: id(2), at: 0, what: ended }];
+        store.commit(&list).await.unwrap();
+    });
+    let path = folder.to_str().unwrap();
+    let shown = run(&["ledger", "show", path, "--period", "60", "--json"]);
+    let line: serde_json::Value = serde_json::from_slice(&shown.stdout).unwrap();
+    assert_eq!(
+        (line["account"].as_str(), line["period"].as_u64(), line["units"].as_i64()),
+        (Some("acme"), Some(1), Some(4))
+    );
+    assert_eq!(code(&run(&["ledger", "verify", path])), 0);
+    let file = folder.join("0000000000000001.seg");
+    let mut bytes = std::fs::read(&file).unwrap();
+    bytes[60] ^= 1;
+    std::fs::write(&file, bytes).unwrap();
+    let verified = run(&["ledger", "verify", path]);
+    assert_eq!(code(&verified), 1);
+    assert!(text(&verified.stdout).contains("DAMAGED at byte 33"), "{}", text(&verified.stdout));
+    assert_eq!(code(&run(&["ledger", "show", "/nonexistent"])), 4);
+    std::fs::remove_dir_all(folder).unwrap();
+}
