--- a/crates/gateway/src/front/grpc.rs
+++ b/crates/gateway/src/front/grpc.rs
@@ -7,7 +7,7 @@
 use async_channel::{Receiver, Sender};
 use bytes::Bytes;
 use chalkgap_core::RequestId;
-use chalkgap_pipe::{Pipe, Turn};
+use chalkgap_pipe::{while_alive, Pipe, Turn};
 use chalkgap_runtime::{Listener, Micros, Shared, Stream};
 use chalkgap_wire::grpc::{self, Code, Deframer, Status};
 use chalkgap_wire::http2::{Config, ConnError, Connection, Event, Field};
@@ -92,11 +92,8 @@
         end: impl FnOnce() + Send + 'static,
     ) {
         let kill = self.kill.clone();
-        let killed = async move {
-            let _ = kill.recv().await;
-        };
         let task = async move {
-            future::or(killed, task).await;
+            while_alive(kill, task).await;
             end();
         };
         self.runtime.spawn(Box::pin(task)).detach();
--- a/crates/gateway/src/instance.rs
+++ b/crates/gateway/src/instance.rs
@@ -3,7 +3,7 @@
 use crate::driver::{Driver, Input};
 use crate::front::grpc::{self, Door};
 use crate::gate::Gate;
-use crate::nodes::{Book, NodeList};
+use crate::nodes::NodeList;
 use crate::peers::{Key, Opener, Sealer, MOST_DATAGRAM};
 use crate::settings::{Compiled, ListSource, Settings, SettingsError};
 use crate::sources;
@@ -11,8 +11,8 @@
 use crate::upstream::Links;
 use async_channel::{Receiver, Sender};
 use chalkgap_core::Gateway;
+use chalkgap_pipe::while_alive;
 use chalkgap_runtime::{Datagrams, Micros, Shared};
-use futures_lite::future;
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
@@ -123,10 +123,9 @@
             input,
         );
         let nodes = &settings.settings.nodes;
-        let book = || Book::new(settings.zones.clone(), nodes.most);
         let mut keep = None;
         if let Some(path) = &nodes.cache {
-            if let Some(list) = sources::cached(&runtime, &book(), path).await {
+            if let Some(list) = sources::cached(&runtime, path).await {
                 // The channel is new and empty.
                 let _ = driver.try_send(Input::Nodes { list: Box::new(list), cached: true });
             }
@@ -140,14 +139,7 @@
                 let every = every_ms * 1000;
                 let telemetry = telemetry.clone();
                 let driver = driver.clone();
-                start(Box::pin(sources::watch_file(
-                    runtime.clone(),
-                    book(),
-                    telemetry,
-                    path.clone(),
-                    every,
-                    driver,
-                )));
+                start(Box::pin(sources::watch_file(runtime.clone(), telemetry, path.clone(), every, driver)));
             }
             ListSource::Roster { address } => {
                 let (telemetry, driver, alive) = (telemetry.clone(), driver.clone(), killed.clone());
@@ -176,10 +168,7 @@
     }
 
     fn spawn(&self, killed: Receiver<()>, task: impl Future<Output = ()> + Send + 'static) {
-        let killed = async move {
-            let _ = killed.recv().await;
-        };
-        self.runtime.spawn(Box::pin(future::or(killed, task))).detach();
+        self.runtime.spawn(Box::pin(while_alive(killed, task))).detach();
     }
 
     /// Where the gRPC front listens.
--- a/crates/gateway/src/nodes.rs
+++ b/crates/gateway/src/nodes.rs
@@ -17,6 +17,16 @@
     pub nodes: Vec<Node>,
 }
 
+impl NodeList {
+    /// Reads a list's text.
+    ///
+    /// # Errors
+    /// [`ListError::Form`].
+    pub fn parse(bytes: &[u8]) -> Result<NodeList, ListError> {
+        Ok(serde_json::from_slice(bytes)?)
+    }
+}
+
 /// A node as listed.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -105,14 +115,6 @@
         Book { zones, most, cells: HashMap::new(), kinds: HashMap::new(), addresses: HashMap::new() }
     }
 
-    /// Reads a list's text.
-    ///
-    /// # Errors
-    /// See [`ListError`].
-    pub fn parse(&self, bytes: &[u8]) -> Result<NodeList, ListError> {
-        Ok(serde_json::from_slice(bytes)?)
-    }
-
     /// Takes a whole list, or none of it.
     ///
     /// # Errors
@@ -174,9 +176,7 @@
     }
 
     fn list(text: &str) -> Result<Vec<Listed>, ListError> {
-        let mut book = book();
-        let list = book.parse(text.as_bytes())?;
-        book.take(&list)
+        book().take(&NodeList::parse(text.as_bytes())?)
     }
 
     #[test]
--- a/crates/gateway/src/sources.rs
+++ b/crates/gateway/src/sources.rs
@@ -1,7 +1,7 @@
 //! Where node lists come from, and where the last one is kept.
 
 use crate::driver::Input;
-use crate::nodes::{Book, Node, NodeList, State};
+use crate::nodes::{Node, NodeList, State};
 use crate::telemetry::{add, Telemetry};
 use async_channel::{Receiver, Sender};
 use chalkgap_pipe::{Pipe, Turn};
@@ -19,7 +19,7 @@
 const MOST_LIST: u64 = 16 << 20;
 
 /// The list that was kept; none where there is none, or it cannot be read.
-pub(crate) async fn cached(runtime: &Shared, book: &Book, path: &Path) -> Option<NodeList> {
+pub(crate) async fn cached(runtime: &Shared, path: &Path) -> Option<NodeList> {
     let bytes = match runtime.files().read(path, MOST_LIST).await {
         Ok(bytes) => bytes,
         Err(e) if e.kind() == std::io::ErrorKind::NotFound => return None,
@@ -28,7 +28,7 @@
             return None;
         }
     };
-    match book.parse(&bytes) {
+    match NodeList::parse(&bytes) {
         Ok(list) => Some(list),
         Err(e) => {
             tracing::warn!(path = %path.display(), error = %e, "kept node list is broken, starting without");
@@ -53,7 +53,6 @@
 /// Looks at a file again and again and tells each change of it.
 pub(crate) async fn watch_file(
     runtime: Shared,
-    book: Book,
     telemetry: Arc<Telemetry>,
     path: PathBuf,
     every: Micros,
@@ -68,7 +67,7 @@
             }
             let bytes = runtime.files().read(&path, MOST_LIST).await.map_err(|e| e.to_string())?;
             // Read again next time if it changed under the reader: a torn list does not parse, or is replaced.
-            let list = book.parse(&bytes).map_err(|e| e.to_string());
+            let list = NodeList::parse(&bytes).map_err(|e| e.to_string());
             seen = Some(stamp);
             list.map(Some)
         };
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -6,7 +6,7 @@
 use async_channel::{Receiver, Sender};
 use bytes::Bytes;
 use chalkgap_core::{BackendId, Outcome, RequestId};
-use chalkgap_pipe::{Pipe, Turn};
+use chalkgap_pipe::{while_alive, Pipe, Turn};
 use chalkgap_runtime::{Micros, Shared};
 use chalkgap_wire::grpc::{self, Deframer, Status};
 use chalkgap_wire::http2::{Code, Config, Connection, Event, Field};
@@ -103,11 +103,7 @@
                 let (commands, receiver) = async_channel::unbounded();
                 let usable = Arc::new(AtomicBool::new(true));
                 let task = run(self.world.clone(), address, receiver, usable.clone(), self.kill.clone());
-                let kill = self.kill.clone();
-                let killed = async move {
-                    let _ = kill.recv().await;
-                };
-                self.world.runtime.spawn(Box::pin(future::or(task, killed))).detach();
+                self.world.runtime.spawn(Box::pin(while_alive(self.kill.clone(), task))).detach();
                 links.insert(n, Link { backend, commands, usable, out: 0 });
                 pool.push(n);
                 n
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -9,6 +9,7 @@
 use chalkgap_standin::journal::Journal;
 use chalkgap_standin::node::{Machine, Node};
 use std::future::Future;
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 pub const SCRIPT: &str = r#"
@@ -46,8 +47,12 @@
 }
 
 pub fn line(node: &Node) -> Line {
+    line_at(node.address())
+}
+
+pub fn line_at(address: SocketAddr) -> Line {
     Line {
-        address: node.address(),
+        address,
         zone: "a".into(),
         cell: "r1".into(),
         kind: String::new(),
--- a/crates/gateway/tests/interop.rs
+++ b/crates/gateway/tests/interop.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use bytes::Bytes;
-use chalkgap::nodes::{Node as Line, NodeList, State};
+use chalkgap::nodes::NodeList;
 use chalkgap::runtime::system::System;
 use chalkgap::settings::Settings;
 use chalkgap::Instance;
@@ -12,7 +12,7 @@
 use chalkgap_standin::node::{Machine, Node};
 use chalkgap_wire::intake::{Done, Work};
 use chalkgap_wire::ratelimit::{Descriptor, Entry, RateLimitRequest, RateLimitResponse, Verdict};
-use common::{ask, list, settings};
+use common::{ask, line_at, list, settings};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 
@@ -209,16 +209,7 @@
 
 async fn with_node(system: &Arc<System>, node: SocketAddr) -> (Instance, Client) {
     let ingress = Instance::start(settings(), system.clone()).await.unwrap();
-    let line = Line {
-        address: node,
-        zone: "a".into(),
-        cell: "r1".into(),
-        kind: String::new(),
-        state: State::Ready,
-        size: 1.0,
-        started_ms: 0,
-    };
-    ingress.nodes(NodeList { revision: 1, nodes: vec![line] }).await;
+    ingress.nodes(NodeList { revision: 1, nodes: vec![line_at(node)] }).await;
     let client =
         Client::connect(system.clone(), ingress.grpc_address(), 0, Journal::default()).await.unwrap();
     (ingress, client)
--- a/crates/pipe/src/lib.rs
+++ b/crates/pipe/src/lib.rs
@@ -6,6 +6,7 @@
 use chalkgap_runtime::{Alarm, Micros, Shared, Stream};
 use chalkgap_wire::http2::{ConnError, Connection};
 use futures_lite::{future, AsyncRead, AsyncWrite, Stream as _};
+use std::future::Future;
 use std::pin::Pin;
 use std::task::Poll;
 
@@ -14,6 +15,14 @@
 /// What is read at once. On the stack: an idle connection holds no buffer.
 const READ: usize = 16 << 10;
 
+/// Runs a task until it ends, or until the other end of `life` is dropped, at its next pause then.
+pub async fn while_alive(life: Receiver<()>, task: impl Future<Output = ()>) {
+    let over = async move {
+        let _ = life.recv().await; // nothing is ever sent: it ends when the sender is gone
+    };
+    future::or(over, task).await;
+}
+
 /// What ended a turn.
 pub enum Turn<C> {
     /// Bytes came: there may be events.
--- a/crates/standin/src/network.rs
+++ b/crates/standin/src/network.rs
@@ -1,7 +1,7 @@
 //! A stand-in for the network between ingresses: datagrams that are late, lost, doubled, or cut off.
 
+use chalkgap_pipe::while_alive;
 use chalkgap_runtime::{Datagrams, Micros, Shared};
-use futures_lite::future;
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 use std::io;
@@ -56,10 +56,7 @@
                 }
             }
         };
-        let end = async move {
-            let _ = killed.recv().await;
-        };
-        runtime.spawn(Box::pin(future::or(end, task))).detach();
+        runtime.spawn(Box::pin(while_alive(killed, task))).detach();
         Ok(Relay { address, weather, _kill: kill })
     }
 
--- a/crates/standin/src/node.rs
+++ b/crates/standin/src/node.rs
@@ -4,13 +4,12 @@
 use crate::journal::{Journal, Seen, CALL_ENTRY};
 use async_channel::{Receiver, Sender};
 use bytes::Bytes;
-use chalkgap_pipe::{Pipe, Turn};
+use chalkgap_pipe::{while_alive, Pipe, Turn};
 use chalkgap_runtime::{Listener, Micros, Shared, Stream};
 use chalkgap_wire::grpc::{self, Deframer, Status};
 use chalkgap_wire::http2::{Code, Config, Connection, Event, Field};
 use chalkgap_wire::intake::{self, Done, Work};
 use chalkgap_wire::orca;
-use futures_lite::future;
 use prost::Message;
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
@@ -240,11 +239,7 @@
 }
 
 fn spawn(world: &Arc<World>, task: impl std::future::Future<Output = ()> + Send + 'static) {
-    let kill = world.kill.clone();
-    let killed = async move {
-        let _ = kill.recv().await;
-    };
-    world.runtime.spawn(Box::pin(future::or(killed, task))).detach();
+    world.runtime.spawn(Box::pin(while_alive(world.kill.clone(), task))).detach();
 }
 
 async fn listen(world: Arc<World>, listener: Box<dyn Listener>) {
--- a/crates/standin/src/roster.rs
+++ b/crates/standin/src/roster.rs
@@ -2,12 +2,11 @@
 
 use crate::journal::{Journal, Seen};
 use async_channel::{Receiver, Sender};
-use chalkgap_pipe::{Pipe, Turn};
+use chalkgap_pipe::{while_alive, Pipe, Turn};
 use chalkgap_runtime::{Listener, Micros, Shared, Stream};
 use chalkgap_wire::grpc::{self, Deframer};
 use chalkgap_wire::http2::{Config, Connection, Event, Field};
 use chalkgap_wire::roster::{List, Node, WatchRequest};
-use futures_lite::future;
 use prost::Message;
 use std::collections::BTreeMap;
 use std::io;
@@ -39,10 +38,7 @@
         let state = Arc::new(Mutex::new(State::default()));
         let address = listener.address();
         let task = listen(runtime.clone(), listener, state.clone(), journal, killed.clone());
-        let end = async move {
-            let _ = killed.recv().await;
-        };
-        runtime.spawn(Box::pin(future::or(end, task))).detach();
+        runtime.spawn(Box::pin(while_alive(killed, task))).detach();
         Ok(Roster { address, state, _kill: kill })
     }
 
@@ -75,11 +71,7 @@
             continue;
         };
         let task = serve(runtime.clone(), stream, state.clone(), journal.clone(), killed.clone());
-        let killed = killed.clone();
-        let end = async move {
-            let _ = killed.recv().await;
-        };
-        runtime.spawn(Box::pin(future::or(end, task))).detach();
+        runtime.spawn(Box::pin(while_alive(killed.clone(), task))).detach();
     }
 }
 
