--- a/crates/cli/src/drill.rs
+++ b/crates/cli/src/drill.rs
@@ -60,7 +60,8 @@
             } else {
                 print(&verdict);
             }
-            if verdict.violations.is_empty() {
+            let billed = verdict.billing.as_ref().is_none_or(|b| b.differences.is_empty());
+            if verdict.violations.is_empty() && billed {
                 Exit::Good
             } else {
                 Exit::Bad
@@ -84,6 +85,11 @@
     println!("  too little time to judge   {}", v.hopeless);
     println!("attempts         {:>8}", v.attempts);
     println!("units sent on    {:>8.0}   beyond their quota {:.0}", v.units, v.beyond_quota);
+    if let Some(b) = &v.billing {
+        println!("units billed     {:>8}   nodes counted {}, in {} sums", b.billed, b.counted, b.sums);
+        println!("  differences    {:>8}", b.differences.len());
+        b.differences.iter().take(20).for_each(|d| println!("    {d}"));
+    }
     if v.violations.is_empty() {
         return println!("rules: all kept");
     }
--- a/crates/cli/tests/scenarios.rs
+++ b/crates/cli/tests/scenarios.rs
@@ -27,6 +27,9 @@
         let v = run(include_str!("../../lab/days/short.star"), home.clone());
         assert!(v.violations.is_empty(), "{home:?}: {:#?}", v.violations);
         assert!(v.calls > 800 && v.served > 500 && v.refused > 20, "{home:?}: a day of some traffic: {v:?}");
+        let billing = v.billing.expect("the day has ledgers");
+        assert!(billing.differences.is_empty(), "{home:?}: {:#?}", billing.differences);
+        assert!(billing.counted > 500, "{billing:?}");
     }
 }
 
--- a/crates/gateway/src/driver.rs
+++ b/crates/gateway/src/driver.rs
@@ -4,6 +4,7 @@
 //! What it keeps by itself is bookkeeping that must not fail: a request is answered at most once because the way back
 //! to its client is used up by the answer; an attempt ends at its time even if its connection's task says nothing.
 
+use crate::ledger::Desk;
 use crate::nodes::{Book, NodeList};
 use crate::settings::{Compiled, Customer};
 use crate::telemetry::{add, Telemetry};
@@ -13,11 +14,13 @@
 use chalkgap_core::{
     Action, BackendId, Event, Gateway, GatewayNo, Outcome, Report, Request, RequestId, RosterKind,
 };
+use chalkgap_ledger::clerk::{Fate, Promise, Ticket};
+use chalkgap_ledger::entry::Open;
 use chalkgap_runtime::{Alarm, Micros, Shared};
 use chalkgap_wire::orca::Load;
 use futures_lite::{future, Stream as _};
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::Arc;
@@ -30,6 +33,7 @@
 pub(crate) struct Ask {
     pub id: RequestId,
     pub class: u8,
+    pub account: String,
     pub customer: Customer,
     pub units: f64,
     pub deadline: Micros,
@@ -74,6 +78,16 @@
     pub outcome: Outcome,
     pub body: Bytes,
     pub load: Option<Load>,
+    /// What the node says it used.
+    pub units: Option<u32>,
+    /// It ran nothing, as the request's key had come before.
+    pub repeat: bool,
+}
+
+impl Ended {
+    pub fn without_answer(id: RequestId, attempt: u16, outcome: Outcome) -> Self {
+        Ended { id, attempt, outcome, body: Bytes::new(), load: None, units: None, repeat: false }
+    }
 }
 
 /// What happens to an instance.
@@ -81,8 +95,16 @@
     Ask(Box<Ask>),
     Gone(RequestId),
     Ended(Box<Ended>),
-    Peer { from: u16, bytes: Vec<u8> },
-    Nodes { list: Box<NodeList>, cached: bool },
+    Peer {
+        from: u16,
+        bytes: Vec<u8>,
+    },
+    Nodes {
+        list: Box<NodeList>,
+        cached: bool,
+    },
+    /// The ledger's disk has more, or has failed.
+    Durable,
 }
 
 struct Out {
@@ -91,12 +113,36 @@
     link: u64,
     sent: Micros,
     ended: bool,
+    /// It waits for the ledger: nothing of it has left.
+    waiting: bool,
+    /// It ended, and may have run.
+    doubtful: bool,
 }
 
 struct Held {
     ask: Box<Ask>,
     attempts: Vec<Out>,
     answered: bool,
+    entry: Entry,
+}
+
+/// Where a request stands in the ledger.
+enum Entry {
+    /// Nothing is written.
+    None,
+    /// Nothing will be: there is no ledger, or it has failed and the settings want requests served all the same.
+    Without,
+    /// Its open entry.
+    Open(Ticket),
+    /// Its end is written.
+    Settled,
+}
+
+/// An attempt that is sent when the ledger's disk has its entry.
+struct Waiting {
+    number: u64,
+    attempt: u16,
+    call: upstream::Call,
 }
 
 pub(crate) struct Driver {
@@ -107,6 +153,9 @@
     pub book: Book,
     pub links: Links,
     pub peers: Option<Sender<(u16, Vec<u8>)>>,
+    desk: Option<Arc<Desk>>,
+    /// In the order of their numbers.
+    waiting: VecDeque<Waiting>,
     /// Sets this start's requests apart from all others, in what nodes see.
     pub name: String,
     input: Pin<Box<Receiver<Input>>>,
@@ -129,6 +178,7 @@
         core: Gateway,
         links: Links,
         peers: Option<Sender<(u16, Vec<u8>)>>,
+        desk: Option<Arc<Desk>>,
         name: String,
         input: Receiver<Input>,
     ) -> Self {
@@ -141,6 +191,8 @@
             book,
             links,
             peers,
+            desk,
+            waiting: VecDeque::new(),
             name,
             input: Box::pin(input),
             held: HashMap::new(),
@@ -198,6 +250,7 @@
                 self.handle(Event::Peer { from: GatewayNo(from), bytes });
             }
             Input::Nodes { list, cached } => self.nodes(&list, cached),
+            Input::Durable => self.durable(),
         }
     }
 
@@ -208,9 +261,9 @@
             let out = self.held.get(&id).and_then(|h| h.attempts.get(usize::from(attempt)));
             if let Some(out) = out.filter(|o| !o.ended) {
                 self.links.command(out.link, Command::Stop { id, attempt });
+                let outcome = if out.waiting { Outcome::Moot } else { Outcome::TimedOut };
                 add(&self.telemetry.timed_out);
-                let (outcome, body, load) = (Outcome::TimedOut, Bytes::new(), None);
-                self.ended(Ended { id, attempt, outcome, body, load });
+                self.ended(Ended::without_answer(id, attempt, outcome));
             }
         }
         while let Some(Reverse((_, _, token))) = self.timers.peek().copied().filter(|t| t.0 .0 <= now) {
@@ -230,6 +283,21 @@
                 ask.reply.try_send(Reply { token: ask.token, id: ask.id, answer: Answer::Refused { pause } });
             return;
         }
+        // What the ledger can promise is decided here, before the request is taken.
+        let entry = match self.desk.as_ref().map(|d| d.promise()) {
+            None => Entry::Without,
+            Some(Promise::Kept) => Entry::None,
+            Some(Promise::Without) => {
+                add(&self.telemetry.ledger_without);
+                Entry::Without
+            }
+            Some(Promise::Refused { pause }) => {
+                add(&self.telemetry.ledger_refused);
+                let answer = Answer::Refused { pause };
+                let _ = ask.reply.try_send(Reply { token: ask.token, id: ask.id, answer });
+                return;
+            }
+        };
         let request = Request {
             id: ask.id,
             class: ask.class,
@@ -240,7 +308,7 @@
             width: ask.customer.width,
             first: ask.customer.first,
         };
-        self.held.insert(ask.id, Held { ask, attempts: Vec::new(), answered: false });
+        self.held.insert(ask.id, Held { ask, attempts: Vec::new(), answered: false, entry });
         self.handle(Event::Request(request));
     }
 
@@ -254,10 +322,14 @@
     }
 
     fn ended(&mut self, ended: Ended) {
-        let Ended { id, attempt, outcome, body, load } = ended;
+        let Ended { id, attempt, outcome, body, load, units, repeat } = ended;
         let Some(held) = self.held.get_mut(&id) else { return };
         let Some(out) = held.attempts.get_mut(usize::from(attempt)).filter(|o| !o.ended) else { return };
         out.ended = true;
+        let ran = matches!(outcome, Outcome::Error | Outcome::Reset | Outcome::TimedOut | Outcome::Cancelled);
+        // A repeat whose first attempt nobody has heard of: that one may have run or died.
+        let unsure = outcome == Outcome::Ok && repeat && units.is_none();
+        out.doubtful = ran || unsure;
         let (backend, node, took) = (out.backend, out.address, self.runtime.now().saturating_sub(out.sent));
         self.links.ended(out.link);
         if outcome == Outcome::ConnectFailed {
@@ -267,6 +339,9 @@
             add(&self.telemetry.served);
             self.answer(id, Answer::Served { body, node });
         }
+        if outcome == Outcome::Ok && !unsure {
+            self.settle(id, units, Fate::Used { node: node.to_string() });
+        }
         let complete = self.held.get(&id).is_some_and(|h| h.answered);
         let report = load.map(|l| Report {
             in_flight: l.in_flight,
@@ -316,6 +391,10 @@
     /// Hands an event to the module and carries out its actions, and what comes of those at once.
     fn handle(&mut self, event: Event) {
         self.queue.push_back(event);
+        self.pump();
+    }
+
+    fn pump(&mut self) {
         while let Some(event) = self.queue.pop_front() {
             let mut actions = std::mem::take(&mut self.actions);
             self.core.handle(self.runtime.now(), event, &mut actions);
@@ -342,10 +421,15 @@
                 self.forget(id);
             }
             Action::Cancel { id, attempt } => {
-                let out = self.held.get(&id).and_then(|h| h.attempts.get(usize::from(attempt)));
-                if let Some(out) = out.filter(|o| !o.ended) {
-                    self.links.command(out.link, Command::Stop { id, attempt });
+                let out = self.held.get_mut(&id).and_then(|h| h.attempts.get_mut(usize::from(attempt)));
+                let Some(out) = out.filter(|o| !o.ended) else { return };
+                if out.waiting {
+                    out.ended = true;
+                    let backend = out.backend;
+                    self.moot(id, attempt, backend);
+                    return self.forget(id);
                 }
+                self.links.command(out.link, Command::Stop { id, attempt });
             }
             Action::SetTimer { delay, token } => {
                 self.set += 1;
@@ -371,10 +455,10 @@
 
     fn send(&mut self, id: RequestId, backend: BackendId, expires: Micros) {
         let now = self.runtime.now();
+        let address = self.listed.get(&backend).copied();
         let Some(held) = self.held.get_mut(&id) else { return };
         let attempt = held.attempts.len() as u16;
         let until = if expires == 0 { held.ask.deadline } else { expires.min(held.ask.deadline) };
-        let address = self.listed.get(&backend).copied();
         let call = upstream::Call {
             id,
             attempt,
@@ -382,29 +466,134 @@
             work: held.ask.work.clone(),
             key: held.ask.key.clone(),
             request: format!("{}-{}", self.name, id.0),
+            entered: None,
             until,
         };
-        let link = address.and_then(|a| self.links.start(backend, a, call));
         add(&self.telemetry.attempts);
-        let address = address.unwrap_or_else(|| SocketAddr::from(([0, 0, 0, 0], 0)));
         held.attempts.push(Out {
             backend,
-            address,
-            link: link.unwrap_or(0),
+            address: address.unwrap_or_else(|| SocketAddr::from(([0, 0, 0, 0], 0))),
+            link: 0,
             sent: now,
-            ended: link.is_none(),
+            ended: false,
+            waiting: false,
+            doubtful: false,
         });
-        if link.is_some() {
-            return self.expiries.push(Reverse((until, id, attempt)));
+        self.expiries.push(Reverse((until, id, attempt)));
+        if address.is_none() {
+            return self.start(call); // listed no more
+        }
+        match self.write(&call) {
+            Written::Without => self.start(call),
+            Written::Number(number) => {
+                if let Some(out) = self.out(id, attempt) {
+                    out.waiting = true;
+                }
+                self.waiting.push_back(Waiting { number, attempt, call });
+            }
+            Written::Failed => self.never(&call),
+        }
+    }
+
+    fn out(&mut self, id: RequestId, attempt: u16) -> Option<&mut Out> {
+        self.held.get_mut(&id)?.attempts.get_mut(usize::from(attempt))
+    }
+
+    /// Writes down that an attempt is about to be made.
+    fn write(&mut self, call: &upstream::Call) -> Written {
+        let (Some(desk), Some(held)) = (&self.desk, self.held.get_mut(&call.id)) else {
+            return Written::Without;
+        };
+        let node =
+            held.attempts.get(usize::from(call.attempt)).map_or_else(String::new, |o| o.address.to_string());
+        let number = match &held.entry {
+            Entry::Without => return Written::Without,
+            Entry::Open(ticket) => desk.again(*ticket, node),
+            // Settled: one more attempt for a request that has been answered; its use is counted.
+            Entry::Settled => return Written::Without,
+            Entry::None => {
+                let ticket = desk.open_entry(open(&self.settings, &held.ask, call.request.clone(), node));
+                if let Some(ticket) = ticket {
+                    held.entry = Entry::Open(ticket);
+                }
+                ticket.map(|t| t.number)
+            }
+        };
+        match (number, desk.promise()) {
+            (Some(number), _) => Written::Number(number),
+            (None, Promise::Without) => {
+                held.entry = Entry::Without;
+                Written::Without
+            }
+            (None, _) => Written::Failed,
         }
-        // Every connection to it is full, or it is listed no more: nothing was written.
-        let (outcome, complete) = (Outcome::Moot, held.answered);
-        let (metered, charged, report, took) = (None, None, None, 0);
+    }
+
+    /// Hands an attempt to a connection.
+    fn start(&mut self, mut call: upstream::Call) {
+        let (id, attempt, now) = (call.id, call.attempt, self.runtime.now());
+        let Some(held) = self.held.get_mut(&id) else { return };
+        if let Entry::Open(ticket) = held.entry {
+            call.entered = Some(ticket.at);
+        }
+        let Some(out) = held.attempts.get_mut(usize::from(attempt)).filter(|o| !o.ended) else { return };
+        (out.waiting, out.sent) = (false, now);
+        let (backend, address) = (out.backend, self.listed.get(&out.backend).copied());
+        match address.and_then(|a| self.links.start(backend, a, call)) {
+            Some(link) => out.link = link,
+            // Every connection to it is full, or it is listed no more: nothing was written.
+            None => {
+                out.ended = true;
+                self.moot(id, attempt, backend);
+            }
+        }
+    }
+
+    fn never(&mut self, call: &upstream::Call) {
+        let Some(out) = self.out(call.id, call.attempt).filter(|o| !o.ended) else { return };
+        out.ended = true;
+        let backend = out.backend;
+        self.moot(call.id, call.attempt, backend);
+    }
+
+    /// The module is to hear that nothing of an attempt was written.
+    fn moot(&mut self, id: RequestId, attempt: u16, backend: BackendId) {
+        let complete = self.held.get(&id).is_some_and(|h| h.answered);
+        let (metered, charged, report, took, outcome) = (None, None, None, 0, Outcome::Moot);
         let event =
             Event::Settled { id, attempt, backend, outcome, complete, took, metered, charged, report };
         self.queue.push_back(event);
     }
 
+    /// The ledger's disk has more entries, or has failed: what waited for it goes out, or never does.
+    fn durable(&mut self) {
+        let Some(desk) = self.desk.clone() else { return };
+        let durable = desk.durable();
+        let without = durable.is_none() && desk.promise() == Promise::Without;
+        while let Some(first) = self.waiting.front() {
+            if durable.is_some_and(|n| first.number > n) {
+                break;
+            }
+            let Some(Waiting { attempt, call, .. }) = self.waiting.pop_front() else { break };
+            let id = call.id;
+            if durable.is_some() || without {
+                if without {
+                    if let Some(held) = self.held.get_mut(&id) {
+                        held.entry = Entry::Without;
+                    }
+                }
+                self.start(call);
+            } else {
+                self.never(&call);
+            }
+            let ended = self.out(id, attempt).is_none_or(|o| o.ended);
+            if ended {
+                self.forget(id);
+            }
+        }
+        self.pump();
+    }
+
     fn answer(&mut self, id: RequestId, answer: Answer) {
         let Some(held) = self.held.get_mut(&id) else { return };
         if std::mem::replace(&mut held.answered, true) {
@@ -417,8 +606,56 @@
     }
 
     fn forget(&mut self, id: RequestId) {
-        if self.held.get(&id).is_some_and(|h| h.answered && h.attempts.iter().all(|o| o.ended)) {
-            self.held.remove(&id);
+        let Some(held) = self.held.get(&id) else { return };
+        if !held.answered || held.attempts.iter().any(|o| !o.ended) {
+            return;
+        }
+        if let Entry::Open(_) = held.entry {
+            let doubtful = held.attempts.iter().filter(|o| o.doubtful);
+            let nodes: BTreeSet<String> = doubtful.map(|o| o.address.to_string()).collect();
+            let fate = if nodes.is_empty() {
+                Fate::Never
+            } else {
+                let request = format!("{}-{}", self.name, id.0);
+                let open = open(&self.settings, &held.ask, request, String::new());
+                Fate::Doubtful { nodes, open: Box::new(open) }
+            };
+            self.settle(id, None, fate);
         }
+        self.held.remove(&id);
+    }
+
+    /// Writes down the end of a request, once.
+    fn settle(&mut self, id: RequestId, units: Option<u32>, fate: Fate) {
+        let (Some(desk), Some(held)) = (&self.desk, self.held.get_mut(&id)) else { return };
+        if let Entry::Open(ticket) = held.entry {
+            held.entry = Entry::Settled;
+            // A node may say that it was less than was asked for, and admitted; never that it was more.
+            let asked = held.ask.units as u64;
+            desk.end(ticket, units.map_or(asked, |u| asked.min(u.into())), fate);
+        }
+    }
+}
+
+/// What became of writing an entry.
+enum Written {
+    /// None is needed.
+    Without,
+    /// To be sent when the disk has this number.
+    Number(u64),
+    /// The disk has failed: it is not sent.
+    Failed,
+}
+
+fn open(settings: &Compiled, ask: &Ask, request: String, node: String) -> Open {
+    let settings = &settings.settings;
+    let name = |n: Option<&String>| n.cloned().unwrap_or_default();
+    Open {
+        account: ask.account.clone(),
+        plan: name(settings.plans.get(usize::from(ask.customer.plan)).map(|p| &p.name)),
+        class: name(settings.classes.get(usize::from(ask.class)).map(|c| &c.name)),
+        units: ask.units as u64,
+        request,
+        node,
     }
 }
--- a/crates/gateway/src/front/grpc.rs
+++ b/crates/gateway/src/front/grpc.rs
@@ -594,6 +594,6 @@
     });
     let wait = timeout.unwrap_or(u64::MAX).min(rule.deadline_ms * 1000);
     let deadline = (arrived + wait).saturating_sub(front.answer_margin_ms * 1000);
-    let work = grpc::frame(&Work { account, units: units as u32, entries: others });
-    Ok(Ask { id, class: class_no, customer, units: units as f64, deadline, work, key, reply, token })
+    let work = grpc::frame(&Work { account: account.clone(), units: units as u32, entries: others });
+    Ok(Ask { id, class: class_no, account, customer, units: units as f64, deadline, work, key, reply, token })
 }
--- a/crates/gateway/src/instance.rs
+++ b/crates/gateway/src/instance.rs
@@ -3,6 +3,7 @@
 use crate::driver::{Driver, Input};
 use crate::front::grpc::{self, Door};
 use crate::gate::Gate;
+use crate::ledger::Desk;
 use crate::nodes::NodeList;
 use crate::peers::{Key, Opener, Sealer, MOST_DATAGRAM};
 use crate::settings::{Compiled, ListSource, Settings, SettingsError};
@@ -11,6 +12,7 @@
 use crate::upstream::Links;
 use async_channel::{Receiver, Sender};
 use chalkgap_core::Gateway;
+use chalkgap_ledger::StoreError;
 use chalkgap_pipe::while_alive;
 use chalkgap_runtime::{Datagrams, Micros, Shared};
 use std::future::Future;
@@ -24,6 +26,9 @@
 /// Messages that may wait to be sent to peers.
 const PEER_ROOM: usize = 1024;
 
+/// How long the ledger's last group may take after a drain whose time is up.
+const LAST_GROUP: Micros = 500_000;
+
 /// Why an instance does not start.
 #[derive(Debug, thiserror::Error)]
 pub enum StartError {
@@ -40,6 +45,12 @@
         /// The system's word.
         error: io::Error,
     },
+    /// The ledger cannot be opened.
+    #[error("settings.ledger.folder: {error}")]
+    Ledger {
+        /// What was found.
+        error: StoreError,
+    },
 }
 
 /// A running ingress. Many may live in one process; they share nothing but the runtime. Dropped, it is killed.
@@ -51,6 +62,7 @@
     telemetry: Arc<Telemetry>,
     open: Arc<AtomicUsize>,
     gate: Arc<Gate>,
+    desk: Option<Arc<Desk>>,
     drain: Option<Sender<()>>,
     kill: Option<Sender<()>>,
 }
@@ -76,6 +88,7 @@
         let (born, telemetry) = (runtime.now(), Arc::new(Telemetry::default()));
         let gate = Gate::new(runtime.clone(), &settings, telemetry.clone())?;
         gate.restore().await;
+        let opened = Desk::open(&runtime, &settings, &telemetry).await?;
         let (driver, input) = async_channel::bounded(ROOM);
         let (drain, drained) = async_channel::bounded(1);
         let (kill, killed) = async_channel::bounded(1);
@@ -87,6 +100,7 @@
             telemetry: telemetry.clone(),
             open: Arc::default(),
             gate: gate.clone(),
+            desk: opened.as_ref().map(|o| o.0.clone()),
             drain: Some(drain),
             kill: Some(kill),
             runtime: runtime.clone(),
@@ -110,6 +124,10 @@
             peers = Some(tell);
         }
 
+        let desk = instance.desk.clone();
+        if let Some((desk, writer)) = opened {
+            desk.tasks(writer, driver.clone(), &killed).into_iter().for_each(start);
+        }
         let core = Gateway::new(settings.core(), runtime.random(), born);
         let links = Links::new(runtime.clone(), settings.clone(), driver.clone(), killed.clone());
         let main = Driver::new(
@@ -119,6 +137,7 @@
             core,
             links,
             peers,
+            desk,
             name.clone(),
             input,
         );
@@ -198,14 +217,17 @@
         self.drain = None;
         self.gate.drain();
         self.gate.keep().await;
-        while self.open.load(Ordering::Relaxed) > 0 {
+        let mut whole = true;
+        while whole && self.open.load(Ordering::Relaxed) > 0 {
             let now = self.runtime.now();
-            if now >= until {
-                return false;
-            }
+            whole = now < until;
             self.runtime.sleep_until((now + 5000).min(until)).await;
         }
-        true
+        if let Some(desk) = &self.desk {
+            // Ends of requests are in no hurry, but now is the last chance to write them down.
+            desk.flush(until.max(self.runtime.now() + LAST_GROUP)).await;
+        }
+        whole
     }
 
     /// Stops at once: connections break, what was taken is the clients' to try again.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 mod front;
 mod gate;
 mod instance;
+mod ledger;
 pub mod nodes;
 pub mod peers;
 pub mod settings;
@@ -22,3 +23,4 @@
 
 pub use chalkgap_runtime as runtime;
 pub use instance::{Instance, StartError};
+pub use ledger::periods;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -35,6 +35,11 @@
         }
         Some(Key(key))
     }
+
+    /// Its bytes.
+    pub(crate) fn bytes(&self) -> &[u8; 32] {
+        &self.0
+    }
 }
 
 /// Writes datagrams.
--- a/crates/gateway/src/settings/compiled.rs
+++ b/crates/gateway/src/settings/compiled.rs
@@ -142,6 +142,16 @@
             let text = format!("{} is more than the {} of its prefix", a.per_address, a.per_prefix);
             say("admission.per_address".into(), text);
         }
+        if let Some(group) = settings.ledger.as_ref().and_then(|l| l.group.as_ref()) {
+            if !group.addresses.contains_key(&fleet.me) {
+                let text = format!("expected one for this ingress, {}", fleet.me);
+                say("ledger.group.addresses".into(), text);
+            }
+            if let Some(no) = group.addresses.keys().find(|n| **n >= fleet.ingresses) {
+                let text = format!("{no} is none of the {} ingresses", fleet.ingresses);
+                say("ledger.group.addresses".into(), text);
+            }
+        }
         let mut named = Vec::new();
         for (n, text) in a.named.iter().enumerate() {
             match Block::parse(text) {
--- a/crates/gateway/src/settings/mod.rs
+++ b/crates/gateway/src/settings/mod.rs
@@ -80,6 +80,10 @@
     #[serde(default)]
     #[garde(dive)]
     pub descriptors: Descriptors,
+    /// The billing ledger; none: use is not written down.
+    #[serde(default)]
+    #[garde(dive)]
+    pub ledger: Option<Ledger>,
 }
 
 /// The fleet and this instance's place in it.
@@ -599,6 +603,181 @@
     }
 }
 
+/// The billing ledger.
+#[derive(Clone, Debug, Serialize, Deserialize, JsonSchema, Validate)]
+#[serde(deny_unknown_fields)]
+#[garde(allow_unvalidated)]
+pub struct Ledger {
+    /// Its folder, of this ingress alone.
+    pub folder: PathBuf,
+    /// Periods of billing, alike at all ingresses.
+    #[serde(default = "period")]
+    #[garde(dive)]
+    pub period: Period,
+    /// Entries that may wait for the disk; more requests are refused until it has caught up.
+    #[serde(default = "waiting")]
+    #[garde(range(min = 1, max = 1_000_000))]
+    pub waiting: usize,
+    /// From which wait on the disk requests are refused until it has caught up.
+    #[serde(default = "slow_ms")]
+    #[garde(range(min = 1, max = 60_000))]
+    pub slow_ms: u64,
+    /// What is told to those who are refused for the disk: when to come back.
+    #[serde(default = "pause_ms")]
+    #[garde(range(min = 1, max = 600_000))]
+    pub pause_ms: u64,
+    /// What becomes of requests when the disk has failed.
+    #[serde(default)]
+    pub on_failure: OnFailure,
+    /// How long nodes are asked about a request whose end nobody saw before it is presumed not to have run.
+    #[serde(default = "truth_ms")]
+    #[garde(range(min = 10, max = 86_400_000))]
+    pub truth_ms: u64,
+    /// How long they are asked after that, for a correction.
+    #[serde(default = "later_ms")]
+    #[garde(range(min = 10, max = 31_536_000_000u64))]
+    pub later_ms: u64,
+    /// How long to wait before a node is asked again.
+    #[serde(default = "ask_again_ms")]
+    #[garde(range(min = 10, max = 3_600_000))]
+    pub ask_again_ms: u64,
+    /// Bytes of a segment, about.
+    #[serde(default = "segment")]
+    #[garde(range(min = 4096, max = 64 << 20))]
+    pub segment: u64,
+    /// Ingresses that share their ledgers; none: this one alone.
+    #[serde(default)]
+    #[garde(dive)]
+    pub group: Option<LedgerGroup>,
+    /// Where finished periods go; none: they stay here.
+    #[serde(default)]
+    #[garde(dive)]
+    pub export: Option<Export>,
+}
+
+fn period() -> Period {
+    Period::Seconds(86_400)
+}
+fn waiting() -> usize {
+    4096
+}
+fn slow_ms() -> u64 {
+    100
+}
+fn pause_ms() -> u64 {
+    1000
+}
+fn truth_ms() -> u64 {
+    60_000
+}
+fn later_ms() -> u64 {
+    3_600_000
+}
+fn ask_again_ms() -> u64 {
+    1000
+}
+fn segment() -> u64 {
+    8 << 20
+}
+
+/// How time is cut into periods of billing, in UTC.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema, Validate)]
+#[serde(rename_all = "snake_case")]
+pub enum Period {
+    /// Of so many seconds, counted from 1970.
+    Seconds(#[garde(range(min = 1, max = 366 * 86_400))] u64),
+    /// Calendar months.
+    Months,
+}
+
+/// What becomes of requests when the ledger's disk has failed.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "snake_case")]
+pub enum OnFailure {
+    /// They are refused: nothing is used that cannot be billed.
+    #[default]
+    Refuse,
+    /// They are served, and not in the ledger.
+    Serve,
+}
+
+/// Ingresses that share their ledgers: each has all entries of all, and any can export.
+#[derive(Clone, Debug, Serialize, Deserialize, JsonSchema, Validate)]
+#[serde(deny_unknown_fields)]
+#[garde(allow_unvalidated)]
+pub struct LedgerGroup {
+    /// Where this one answers the others.
+    #[schemars(with = "String")]
+    pub listen: SocketAddr,
+    /// Where each of the group answers, by its number; this one's own is there, too.
+    #[schemars(with = "BTreeMap<u16, String>")]
+    #[garde(length(min = 1, max = 64))]
+    pub addresses: BTreeMap<u16, SocketAddr>,
+    /// The key that all share: 32 bytes in hexadecimal digits.
+    #[garde(custom(hex_key))]
+    pub key: String,
+    /// How often each of the others is asked what it has.
+    #[serde(default = "second")]
+    #[garde(range(min = 10, max = 3_600_000))]
+    pub every_ms: u64,
+    /// Entries fetched a second, from one other.
+    #[serde(default = "fetched")]
+    #[garde(range(min = 1.0, max = 1e7))]
+    pub per_second: f64,
+}
+
+fn second() -> u64 {
+    1000
+}
+fn fetched() -> f64 {
+    20_000.0
+}
+
+/// Where finished periods go.
+#[derive(Clone, Debug, Serialize, Deserialize, JsonSchema, Validate)]
+#[serde(deny_unknown_fields)]
+#[garde(allow_unvalidated)]
+pub struct Export {
+    /// The consumer.
+    pub to: ExportTo,
+    /// How long after its end a period is exported even if some ingress has not said that it is complete.
+    #[serde(default = "after_ms")]
+    #[garde(range(min = 1, max = 31_536_000_000u64))]
+    pub after_ms: u64,
+    /// How often there is a look at what is to be exported.
+    #[serde(default = "second")]
+    #[garde(range(min = 10, max = 3_600_000))]
+    pub every_ms: u64,
+    /// How long what is due stays untouched before the next ingress of the group steps in.
+    #[serde(default = "takeover_ms")]
+    #[garde(range(min = 10, max = 86_400_000))]
+    pub takeover_ms: u64,
+    /// How long the consumer may take for its word on a batch.
+    #[serde(default = "patience_of_export")]
+    #[garde(range(min = 10, max = 600_000))]
+    pub patience_ms: u64,
+}
+
+fn after_ms() -> u64 {
+    3_600_000
+}
+fn takeover_ms() -> u64 {
+    60_000
+}
+fn patience_of_export() -> u64 {
+    10_000
+}
+
+/// Who takes finished periods.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "snake_case")]
+pub enum ExportTo {
+    /// A folder that all of the group write to: a file a batch, named by stream and number.
+    Folder(PathBuf),
+    /// A billing consumer's gRPC address.
+    Grpc(#[schemars(with = "String")] SocketAddr),
+}
+
 /// Reads settings from a script's text; `file` is its name for complaints, `given` what the script is given.
 ///
 /// # Errors
--- a/crates/gateway/src/telemetry.rs
+++ b/crates/gateway/src/telemetry.rs
@@ -62,6 +62,30 @@
     lists,
     /// Node lists refused.
     lists_bad,
+    /// Requests refused because the ledger's disk was slow or had failed.
+    ledger_refused,
+    /// Requests served without an entry, as the ledger's disk had failed.
+    ledger_without,
+    /// Entries that the ledger's disk has, copies of others' in.
+    ledger_entries,
+    /// Groups of entries that were written and synced.
+    ledger_groups,
+    /// Questions to nodes about requests whose end nobody saw, and those that got no word.
+    ledger_asked,
+    /// See `ledger_asked`.
+    ledger_unanswered,
+    /// Ends that were presumed.
+    ledger_presumed,
+    /// Entries of others that say something else than the ones here.
+    ledger_conflicts,
+    /// Calls to other ingresses about their ledgers that failed, or whose answers were not taken.
+    ledger_peer_failed,
+    /// Calls of others that were not taken: not by a holder of the key, or broken.
+    ledger_peer_refused,
+    /// Batches that the consumer has, handed over by this ingress.
+    ledger_exported,
+    /// Batches that got no word, or another's in their place.
+    ledger_export_again,
 }
 
 pub(crate) fn add(counter: &AtomicU64) {
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -11,7 +11,7 @@
 use chalkgap_wire::grpc::{self, Deframer, Status};
 use chalkgap_wire::http2::{Code, Config, Connection, Event, Field};
 use chalkgap_wire::intake::{self, Done};
-use chalkgap_wire::orca;
+use chalkgap_wire::{orca, truth};
 use futures_lite::future;
 use prost::Message;
 use std::collections::{BTreeMap, HashMap, VecDeque};
@@ -27,6 +27,8 @@
     pub work: Bytes,
     pub key: Option<Bytes>,
     pub request: String,
+    /// When the request's entry in the ledger was written.
+    pub entered: Option<Micros>,
     pub until: Micros,
 }
 
@@ -178,7 +180,7 @@
 }
 
 fn ended(call: &Call, outcome: Outcome) -> Ended {
-    Ended { id: call.id, attempt: call.attempt, outcome, body: Bytes::new(), load: None }
+    Ended::without_answer(call.id, call.attempt, outcome)
 }
 
 async fn run(
@@ -334,6 +336,9 @@
                 Field::new("grpc-timeout", grpc::format_timeout(left)),
                 Field::new(intake::REQUEST, call.request.clone()),
             ];
+            if let Some(at) = call.entered {
+                fields.push(Field::new(truth::ENTERED, at.to_string()));
+            }
             if let Some(key) = &call.key {
                 fields.push(Field::new(intake::KEY, key.clone()));
             }
@@ -396,7 +401,7 @@
         let done = done.and_then(|m| Done::decode(m).ok());
         let load = trailers.iter().find(|f| f.name == orca::TRAILER).and_then(|f| orca::parse(&f.value));
         let outcome = if done.is_some() { Outcome::Ok } else { Outcome::Error };
-        let body = done.map(|d| d.body).unwrap_or_default();
-        self.ended.push(Ended { load, body, ..ended(&o.call, outcome) });
+        let Done { body, units, repeat } = done.unwrap_or_default();
+        self.ended.push(Ended { load, body, units, repeat, ..ended(&o.call, outcome) });
     }
 }
--- a/crates/lab/days/short.star
+++ b/crates/lab/days/short.star
@@ -12,6 +12,7 @@
     "settings": {
         "front": {"answer_margin_ms": 80, "default_class": "sig-check", "max_connections": 120},
         "descriptors": {"nodes": 64},
+        "ledger": {"period": {"seconds": 3}, "ask_again_ms": 100},
         "classes": [
             {"name": "sig-check", "aim_ms": 400, "deadline_ms": 1600, "worth": 1.0, "repeat": "safe"},
             {"name": "report-upload", "aim_ms": 800, "deadline_ms": 2500, "worth": 3.0, "late_worth": 0.2,
--- a/crates/lab/src/audit.rs
+++ b/crates/lab/src/audit.rs
@@ -4,6 +4,7 @@
 //! Where two clocks meet there is a tolerance, stated in [`Law`]: an attempt is seen when it arrives, a little after it
 //! was sent. Clients' answers are judged without any.
 
+use crate::ledger::Billing;
 use chalkgap_runtime::Micros;
 use chalkgap_standin::journal::{Answer, Entry, Seen};
 use serde::Serialize;
@@ -91,6 +92,8 @@
     pub served_us: [u64; 3],
     /// The same of refusals.
     pub refused_us: [u64; 3],
+    /// What was billed, where ingresses have ledgers.
+    pub billing: Option<Billing>,
 }
 
 struct Asked<'j> {
--- a/crates/lab/src/day.rs
+++ b/crates/lab/src/day.rs
@@ -19,7 +19,8 @@
     /// How many ingresses.
     #[garde(range(min = 1, max = 32))]
     pub ingresses: u16,
-    /// Their settings, but for what a drill fills in: `fleet`, `front.listen`, `nodes`.
+    /// Their settings, but for what a drill fills in: `fleet`, `front.listen`, `nodes`; folder, group and export of a
+    /// `ledger`.
     pub settings: serde_json::Value,
     /// Zones, given to ingresses and nodes in turn.
     #[garde(length(min = 1, max = 16))]
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -8,3 +8,4 @@
 pub mod audit;
 pub mod day;
 pub mod drill;
+pub mod ledger;
--- a/crates/ledger/src/book.rs
+++ b/crates/ledger/src/book.rs
@@ -1,21 +1,21 @@
-//! Adds entries up. They may come in any order and any number of copies, from this ingress's log and from others'.
+//! Adds entries up. They may come in any order and any number of copies, from this ingress's log and from others', and
+//! the same entries give the same sums. It also knows what has been exported, as far as the consumer's acknowledgements
+//! say, and which periods are complete.
 
-use crate::entry::{Entry, Id, What};
-use crate::Micros;
-use std::collections::BTreeMap;
+use crate::entry::{Batch, Correction, Entry, Id, Line, Range, Settled, What};
+use crate::period::Periods;
+use crate::spans::{self, Span};
+use std::collections::{BTreeMap, BTreeSet};
 
-/// Numbers from one to another, both in.
-pub type Span = (u64, u64);
-
-/// An account's use in a period.
+/// An account's use under a plan in a period.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Sum {
     /// Units of settled requests, corrections in.
     pub units: i64,
     /// Requests that used any.
     pub requests: u64,
-    /// Units settled by the rule, with no truth so far.
-    pub presumed: i64,
+    /// Requests settled by the rule, whose truth is not known so far.
+    pub presumed: u64,
     /// Units of requests that are still open.
     pub open: u64,
 }
@@ -31,175 +31,439 @@
     Conflict,
 }
 
+/// Where a stream of batches stands.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Place {
+    /// Batches that the consumer has, from 1 to here.
+    pub done: u64,
+    /// The next one, if it has been written and not acknowledged.
+    pub pending: Option<Batch>,
+    /// Entries that batches were added up from and that are not here: nothing is exported before they are.
+    pub lacks: Vec<Range>,
+    /// Up to which period it has told.
+    pub until: Option<u64>,
+}
+
+#[derive(Clone, Copy)]
+struct End {
+    /// Incarnation and number of the entry that said so.
+    by: (u64, u64),
+    units: u64,
+    presumed: bool,
+}
+
 struct Use {
-    account: String,
+    payer: u32,
     period: u64,
     units: u64,
-    /// None while open; the units, and whether they were presumed.
-    end: Option<(u64, bool)>,
+    end: Option<End>,
+    corrected: bool,
 }
 
-/// Adds up use by account and period.
-pub struct Book {
-    period: Micros,
-    /// Which numbers are in, by ingress and incarnation; spans that do not touch, in order.
-    have: BTreeMap<(u16, u64), Vec<Span>>,
+/// Marks are kept in blocks of this many numbers.
+const BLOCK: u64 = 256;
+
+#[derive(Default)]
+struct Life {
+    have: Vec<Span>,
     /// A short hash of each entry that is in, to tell a copy from a conflict.
-    marks: BTreeMap<Id, u64>,
-    uses: BTreeMap<Id, Use>,
-    /// Ends and corrections that came before what they belong to.
-    early: BTreeMap<Id, Vec<(Id, What)>>,
-    /// Ends that were taken, by the open entry: the lowest number counts where there are two.
-    ends: BTreeMap<Id, u64>,
-    sums: BTreeMap<(String, u64), Sum>,
+    marks: BTreeMap<u64, Box<[u32; BLOCK as usize]>>,
+    uses: BTreeMap<u64, Use>,
+    /// The incarnation before it, and the last number of that one.
+    before: Option<(u64, u64)>,
+}
+
+#[derive(Default)]
+struct Stream {
+    done: u64,
+    until: Option<u64>,
+    batches: BTreeMap<u64, Vec<([u8; 32], Batch)>>,
+    acknowledged: BTreeMap<u64, [u8; 32]>,
 }
 
-fn mark(entry: &Entry) -> u64 {
+/// Something that came before the open entry that it belongs to.
+enum Early {
+    Ended(End),
+    Corrected,
+}
+
+type Payer = u32;
+
+/// Adds up use by account, plan and period.
+pub struct Book {
+    periods: Periods,
+    lives: BTreeMap<(u16, u64), Life>,
+    payers: Vec<(String, String)>,
+    numbers: BTreeMap<(String, String), Payer>,
+    sums: BTreeMap<(u64, Payer), Sum>,
+    /// Requests that are open, by period.
+    open: BTreeMap<u64, u64>,
+    early: BTreeMap<Id, Vec<Early>>,
+    /// The latest period that each ingress has closed, and by which entry.
+    closed: BTreeMap<u16, (u64, u64, u64)>,
+    streams: BTreeMap<String, Stream>,
+    exported: BTreeMap<(u64, Payer), (i64, i64)>,
+    /// Where sums and exports may differ.
+    dirty: BTreeSet<(u64, Payer)>,
+    basis: BTreeMap<(u16, u64), Vec<Span>>,
+    /// Uses before this period are put away.
+    trimmed: u64,
+    strays: u64,
+}
+
+fn mark(entry: &Entry) -> u32 {
     let hash = blake3::hash(&entry.encode());
-    let mut word = [0; 8];
-    word.copy_from_slice(&hash.as_bytes()[..8]);
-    u64::from_le_bytes(word)
+    let mut word = [0; 4];
+    word.copy_from_slice(&hash.as_bytes()[..4]);
+    u32::from_le_bytes(word)
 }
 
 impl Book {
-    /// An empty book with periods of this length, counted from 1970 (UTC).
-    pub fn new(period: Micros) -> Self {
+    /// An empty book.
+    pub fn new(periods: Periods) -> Self {
         Book {
-            period: period.max(1),
-            have: BTreeMap::new(),
-            marks: BTreeMap::new(),
-            uses: BTreeMap::new(),
-            early: BTreeMap::new(),
-            ends: BTreeMap::new(),
+            periods,
+            lives: BTreeMap::new(),
+            payers: Vec::new(),
+            numbers: BTreeMap::new(),
             sums: BTreeMap::new(),
+            open: BTreeMap::new(),
+            early: BTreeMap::new(),
+            closed: BTreeMap::new(),
+            streams: BTreeMap::new(),
+            exported: BTreeMap::new(),
+            dirty: BTreeSet::new(),
+            basis: BTreeMap::new(),
+            trimmed: 0,
+            strays: 0,
         }
     }
 
-    /// The period of a time.
-    pub fn period_of(&self, at: Micros) -> u64 {
-        at / self.period
+    /// How it cuts time.
+    pub fn periods(&self) -> Periods {
+        self.periods
+    }
+
+    /// Whether an entry is in.
+    pub fn has(&self, id: Id) -> bool {
+        self.lives.get(&(id.ingress, id.incarnation)).is_some_and(|l| spans::contains(&l.have, id.number))
     }
 
     /// Takes an entry.
     pub fn take(&mut self, entry: &Entry) -> Taken {
-        let mark = mark(entry);
-        if let Some(old) = self.marks.get(&entry.id) {
-            return if *old == mark { Taken::Known } else { Taken::Conflict };
+        let (mark, id) = (mark(entry), entry.id);
+        let life = self.lives.entry((id.ingress, id.incarnation)).or_default();
+        let slot = (id.number / BLOCK, (id.number % BLOCK) as usize);
+        if spans::contains(&life.have, id.number) {
+            let same = life.marks.get(&slot.0).is_none_or(|b| b[slot.1] == mark);
+            return if same { Taken::Known } else { Taken::Conflict };
         }
-        self.marks.insert(entry.id, mark);
-        add(self.have.entry((entry.id.ingress, entry.id.incarnation)).or_default(), entry.id.number);
+        life.marks.entry(slot.0).or_insert_with(|| Box::new([0; BLOCK as usize]))[slot.1] = mark;
+        spans::add(&mut life.have, id.number);
         match &entry.what {
-            What::Open { account, units, .. } => {
-                let period = self.period_of(entry.at);
-                let one = Use { account: account.clone(), period, units: *units, end: None };
-                self.sums.entry((account.clone(), period)).or_default().open += units;
-                self.uses.insert(entry.id, one);
-                for (id, what) in self.early.remove(&entry.id).unwrap_or_default() {
-                    self.follow(entry.id, id, &what);
+            What::Open(o) => {
+                let (period, payer) = (self.periods.of(entry.at), self.payer(&o.account, &o.plan));
+                let one = Use { payer, period, units: o.units, end: None, corrected: false };
+                let sum = self.sums.entry((period, payer)).or_default();
+                sum.open = sum.open.saturating_add(o.units);
+                *self.open.entry(period).or_default() += 1;
+                if let Some(life) = self.lives.get_mut(&(id.ingress, id.incarnation)) {
+                    life.uses.insert(id.number, one);
+                }
+                for early in self.early.remove(&id).unwrap_or_default() {
+                    self.follow(id, early);
+                }
+            }
+            What::Settled(s) => {
+                let Settled { open, units, presumed, incarnation, .. } = s;
+                let incarnation = if *incarnation == 0 { id.incarnation } else { *incarnation };
+                let of = Id { incarnation, number: *open, ..id };
+                let by = (id.incarnation, id.number);
+                self.follow(of, Early::Ended(End { by, units: *units, presumed: *presumed }));
+            }
+            What::Correction(c) => {
+                let payer = self.payer(&c.account, &c.plan);
+                let sum = self.sums.entry((c.period, payer)).or_default();
+                sum.units = sum.units.saturating_add(c.units);
+                self.dirty.insert((c.period, payer));
+                let Correction { ingress, incarnation, number, .. } = c;
+                let of = Id { ingress: *ingress as u16, incarnation: *incarnation, number: *number };
+                self.follow(of, Early::Corrected);
+            }
+            What::Again(_) => {}
+            What::Opened(o) => {
+                if let Some(life) = self.lives.get_mut(&(id.ingress, id.incarnation)) {
+                    life.before = (o.incarnation > 0).then_some((o.incarnation, o.number));
+                }
+            }
+            What::Closed(c) => {
+                let new = (c.period, id.incarnation, id.number);
+                let old = self.closed.entry(id.ingress).or_insert(new);
+                *old = (*old).max(new);
+            }
+            What::Exported(b) => {
+                let list = self.streams.entry(b.stream.clone()).or_default();
+                if b.number > list.done {
+                    list.batches.entry(b.number).or_default().push((b.digest(), b.clone()));
                 }
+                self.apply(&b.stream);
             }
-            What::Settled { open, .. } => {
-                let of = Id { number: *open, ..entry.id };
-                self.follow(of, entry.id, &entry.what);
+            What::Acknowledged(a) => {
+                let list = self.streams.entry(a.stream.clone()).or_default();
+                if let Ok(digest) = <[u8; 32]>::try_from(&a.digest[..]) {
+                    if a.number > list.done {
+                        list.acknowledged.entry(a.number).or_insert(digest);
+                    }
+                }
+                self.apply(&a.stream);
             }
-            What::Correction { of, .. } => self.follow(*of, entry.id, &entry.what),
         }
         Taken::New
     }
 
+    fn payer(&mut self, account: &str, plan: &str) -> Payer {
+        let key = (account.to_owned(), plan.to_owned());
+        if let Some(n) = self.numbers.get(&key) {
+            return *n;
+        }
+        let n = self.payers.len() as Payer;
+        self.payers.push(key.clone());
+        self.numbers.insert(key, n);
+        n
+    }
+
     /// What belongs to an open entry: now, or when that comes.
-    fn follow(&mut self, of: Id, id: Id, what: &What) {
-        let Some(u) = self.uses.get_mut(&of) else {
-            self.early.entry(of).or_default().push((id, what.clone()));
+    fn follow(&mut self, of: Id, early: Early) {
+        let life = self.lives.get_mut(&(of.ingress, of.incarnation));
+        let there = life.as_ref().is_some_and(|l| spans::contains(&l.have, of.number));
+        let Some(u) = life.and_then(|l| l.uses.get_mut(&of.number)) else {
+            if there {
+                self.strays += 1; // put away with its period, or no open entry
+            } else {
+                self.early.entry(of).or_default().push(early);
+            }
             return;
         };
-        let sum = self.sums.entry((u.account.clone(), u.period)).or_default();
-        match what {
-            What::Settled { units, presumed, .. } => {
-                // A request has one end. Where two were written, whatever the order they come in, the first counts.
-                let first = self.ends.get(&of).is_none_or(|n| id.number < *n);
-                if !first {
+        let key = (u.period, u.payer);
+        let sum = self.sums.entry(key).or_default();
+        match early {
+            Early::Corrected => {
+                let doubtful = !u.corrected && u.end.is_some_and(|e| e.presumed);
+                sum.presumed -= u64::from(doubtful);
+                u.corrected = true;
+            }
+            Early::Ended(end) => {
+                // A request has one end. Where two were written (a disk restored from an old copy), whatever the order
+                // they come in: one that knows counts before one that presumes, then the earlier one.
+                let rank = |e: &End| (e.presumed, e.by);
+                if u.end.as_ref().is_some_and(|old| rank(old) <= rank(&end)) {
                     return;
                 }
-                self.ends.insert(of, id.number);
-                match u.end.replace((*units, *presumed)) {
-                    None => sum.open -= u.units,
-                    Some((old, was_presumed)) => {
-                        sum.units -= old as i64;
-                        sum.requests -= u64::from(old > 0);
-                        sum.presumed -= if was_presumed { old as i64 } else { 0 };
+                match u.end.replace(end) {
+                    None => {
+                        sum.open = sum.open.saturating_sub(u.units);
+                        if let Some(n) = self.open.get_mut(&u.period) {
+                            *n -= 1;
+                            if *n == 0 {
+                                self.open.remove(&u.period);
+                            }
+                        }
+                    }
+                    Some(old) => {
+                        sum.units = sum.units.saturating_sub_unsigned(old.units);
+                        sum.requests -= u64::from(old.units > 0);
+                        sum.presumed -= u64::from(old.presumed && !u.corrected);
                     }
                 }
-                sum.units += *units as i64;
-                sum.requests += u64::from(*units > 0);
-                sum.presumed += if *presumed { *units as i64 } else { 0 };
+                sum.units = sum.units.saturating_add_unsigned(end.units);
+                sum.requests += u64::from(end.units > 0);
+                sum.presumed += u64::from(end.presumed && !u.corrected);
+                self.dirty.insert(key);
             }
-            What::Correction { units, .. } => sum.units += units,
-            What::Open { .. } => {}
         }
     }
 
-    /// An account's use in a period.
+    /// Counts batches that the consumer has, in their order.
+    fn apply(&mut self, stream: &str) {
+        loop {
+            let Some(s) = self.streams.get_mut(stream) else { return };
+            let next = s.done + 1;
+            let Some(digest) = s.acknowledged.get(&next) else { return };
+            let list = s.batches.get(&next).map(Vec::as_slice).unwrap_or_default();
+            let Some((_, batch)) = list.iter().find(|b| b.0 == *digest).cloned() else { return };
+            s.done = next;
+            s.until = s.until.max(Some(batch.until));
+            s.batches.remove(&next);
+            s.acknowledged.remove(&next);
+            for line in &batch.lines {
+                let key = (line.period, self.payer(&line.account, &line.plan));
+                let e = self.exported.entry(key).or_default();
+                *e = (e.0.saturating_add(line.units), e.1.saturating_add(line.requests));
+                self.dirty.insert(key);
+            }
+            for r in &batch.basis {
+                if let Ok(ingress) = u16::try_from(r.ingress) {
+                    let all = self.basis.entry((ingress, r.incarnation)).or_default();
+                    spans::add_span(all, (r.from, r.to));
+                }
+            }
+        }
+    }
+
+    /// An account's use in a period, under all plans.
     pub fn sum(&self, account: &str, period: u64) -> Sum {
-        self.sums.get(&(account.to_owned(), period)).copied().unwrap_or_default()
+        let mut all = Sum::default();
+        for (a, _, p, s) in self.sums() {
+            if a == account && p == period {
+                all.units = all.units.saturating_add(s.units);
+                all.requests += s.requests;
+                all.presumed += s.presumed;
+                all.open += s.open;
+            }
+        }
+        all
     }
 
-    /// All sums, by account and period.
-    pub fn sums(&self) -> impl Iterator<Item = (&str, u64, Sum)> {
-        self.sums.iter().map(|((account, period), sum)| (account.as_str(), *period, *sum))
+    /// All sums, by account, plan and period.
+    pub fn sums(&self) -> impl Iterator<Item = (&str, &str, u64, Sum)> {
+        let mut list: Vec<_> = self
+            .sums
+            .iter()
+            .map(|((period, payer), sum)| {
+                let (account, plan) = &self.payers[*payer as usize];
+                (account.as_str(), plan.as_str(), *period, *sum)
+            })
+            .collect();
+        list.sort_unstable_by_key(|s| (s.0, s.1, s.2));
+        list.into_iter()
     }
 
-    /// Requests of an incarnation that are open.
-    pub fn open(&self, ingress: u16, incarnation: u64) -> Vec<Id> {
-        let from = Id { ingress, incarnation, number: 0 };
-        let to = Id { number: u64::MAX, ..from };
-        self.uses.range(from..=to).filter(|(_, u)| u.end.is_none()).map(|(id, _)| *id).collect()
+    /// Requests of an ingress that are open, of all its incarnations.
+    pub fn open(&self, ingress: u16) -> Vec<Id> {
+        let lives = self.lives.range((ingress, 0)..=(ingress, u64::MAX));
+        let open = |((ingress, incarnation), life): (&(u16, u64), &Life)| {
+            let (ingress, incarnation) = (*ingress, *incarnation);
+            let list = life.uses.iter().filter(|u| u.1.end.is_none());
+            list.map(move |u| Id { ingress, incarnation, number: *u.0 }).collect::<Vec<_>>()
+        };
+        lives.flat_map(open).collect()
     }
 
     /// What is in, by ingress and incarnation.
     pub fn have(&self) -> impl Iterator<Item = ((u16, u64), &[Span])> {
-        self.have.iter().map(|(k, v)| (*k, v.as_slice()))
+        self.lives.iter().filter(|l| !l.1.have.is_empty()).map(|(k, v)| (*k, v.have.as_slice()))
+    }
+
+    /// The numbers of an incarnation that are in.
+    pub fn spans(&self, ingress: u16, incarnation: u64) -> &[Span] {
+        self.lives.get(&(ingress, incarnation)).map(|l| l.have.as_slice()).unwrap_or_default()
     }
 
     /// What another has of an incarnation and this book lacks: to be asked for, at most `most` numbers.
     pub fn lacks(&self, ingress: u16, incarnation: u64, theirs: &[Span], most: u64) -> Vec<Span> {
-        let ours = self.have.get(&(ingress, incarnation)).map(Vec::as_slice).unwrap_or_default();
-        let (mut list, mut left) = (Vec::new(), most);
-        for (from, to) in theirs {
-            let mut at = *from;
-            for (a, b) in ours.iter().filter(|s| s.1 >= *from && s.0 <= *to) {
-                ask(&mut list, at, a.saturating_sub(1), &mut left);
-                at = at.max(b.saturating_add(1));
-            }
-            ask(&mut list, at, *to, &mut left);
+        spans::lacks(self.spans(ingress, incarnation), theirs, most)
+    }
+
+    /// The latest period that an ingress has closed, where all that it wrote up to then is here.
+    pub fn complete(&self, ingress: u16) -> Option<u64> {
+        let (period, incarnation, number) = *self.closed.get(&ingress)?;
+        let (mut incarnation, mut number) = (incarnation, number);
+        // As many as there are: an incarnation that names itself or a later one before it does not go on for ever.
+        for _ in 0..=self.lives.len() {
+            let life = self.lives.get(&(ingress, incarnation))?;
+            if !spans::whole(&life.have, number) {
+                return None;
+            }
+            match life.before {
+                Some(before) => (incarnation, number) = before,
+                None => return Some(period),
+            }
         }
-        list
+        None
     }
-}
 
-fn ask(list: &mut Vec<Span>, from: u64, to: u64, left: &mut u64) {
-    if *left > 0 && from <= to {
-        let to = to.min(from.saturating_add(*left - 1));
-        *left -= to - from + 1;
-        list.push((from, to));
+    /// The first period that has requests that are open.
+    pub fn first_open(&self) -> Option<u64> {
+        self.open.keys().next().copied()
+    }
+
+    /// Where a stream stands.
+    pub fn place(&self, stream: &str) -> Place {
+        let s = self.streams.get(stream);
+        let done = s.map_or(0, |s| s.done);
+        let pending = s.and_then(|s| s.batches.get(&(done + 1))?.first().map(|b| b.1.clone()));
+        let mut missing = Vec::new();
+        for ((ingress, incarnation), need) in &self.basis {
+            for (from, to) in self.lacks(*ingress, *incarnation, need, u64::MAX) {
+                missing.push(Range { ingress: (*ingress).into(), incarnation: *incarnation, from, to });
+            }
+        }
+        Place { done, pending, lacks: missing, until: s.and_then(|s| s.until) }
+    }
+
+    /// What is to be exported of periods up to `until`, for accounts that `mine` says, at most `most` lines.
+    pub fn due(&self, until: u64, mine: impl Fn(&str) -> bool, most: usize) -> Vec<Line> {
+        let mut lines = Vec::new();
+        for (period, payer) in self.dirty.range(..=(until, Payer::MAX)) {
+            let (account, plan) = &self.payers[*payer as usize];
+            if !mine(account) {
+                continue;
+            }
+            let sum = self.sums.get(&(*period, *payer)).copied().unwrap_or_default();
+            let (units, requests) = self.exported.get(&(*period, *payer)).copied().unwrap_or_default();
+            let units = sum.units.saturating_sub(units);
+            let requests = i64::try_from(sum.requests).unwrap_or(i64::MAX).saturating_sub(requests);
+            if (units, requests) != (0, 0) {
+                let (account, plan) = (account.clone(), plan.clone());
+                lines.push(Line { account, plan, period: *period, billed: *period, units, requests });
+            }
+            if lines.len() >= most {
+                break;
+            }
+        }
+        lines
+    }
+
+    /// Forgets what need not be looked at again: sums that are exported as they stand.
+    pub fn tidy(&mut self) {
+        let (sums, exported) = (&self.sums, &self.exported);
+        self.dirty.retain(|key| {
+            let sum = sums.get(key).copied().unwrap_or_default();
+            let done = exported.get(key).copied().unwrap_or_default();
+            (sum.units, i64::try_from(sum.requests).unwrap_or(i64::MAX)) != done
+        });
     }
-}
 
-/// Puts a number into spans.
-fn add(spans: &mut Vec<Span>, n: u64) {
-    let at = spans.partition_point(|s| s.1 < n);
-    if spans.get(at).is_some_and(|s| s.0 <= n) {
-        return;
-    }
-    let before = at > 0 && spans[at - 1].1 + 1 == n;
-    let after = spans.get(at).is_some_and(|s| n + 1 == s.0);
-    match (before, after) {
-        (true, true) => {
-            spans[at - 1].1 = spans[at].1;
-            spans.remove(at);
+    /// Puts away the single requests of periods before one; their sums stay. Those that are open stay as well.
+    pub fn trim(&mut self, before: u64) {
+        if before <= self.trimmed {
+            return;
+        }
+        self.trimmed = before;
+        for life in self.lives.values_mut() {
+            life.uses.retain(|_, u| u.period >= before || u.end.is_none());
         }
-        (true, false) => spans[at - 1].1 = n,
-        (false, true) => spans[at].0 = n,
-        (false, false) => spans.insert(at, (n, n)),
+    }
+
+    /// Whether all that was used before a period is exported.
+    pub fn exported_before(&self, period: u64) -> bool {
+        let due = self.dirty.range(..(period, 0)).any(|key| {
+            let sum = self.sums.get(key).copied().unwrap_or_default();
+            let done = self.exported.get(key).copied().unwrap_or_default();
+            (sum.units, i64::try_from(sum.requests).unwrap_or(i64::MAX)) != done
+        });
+        !due && self.open.range(..period).next().is_none()
+    }
+
+    /// What has been exported of an account's use in a period: units and requests.
+    pub fn exported(&self, account: &str, period: u64) -> (i64, i64) {
+        let of = self.numbers.range((account.to_owned(), String::new())..);
+        let of = of.take_while(|(k, _)| k.0 == account).filter_map(|(_, n)| self.exported.get(&(period, *n)));
+        of.fold((0, 0), |all, e| (all.0 + e.0, all.1 + e.1))
+    }
+
+    /// Ends and corrections of what had been put away: counted, not added up.
+    pub fn strays(&self) -> u64 {
+        self.strays
     }
 }
--- a/crates/ledger/src/store.rs
+++ b/crates/ledger/src/store.rs
@@ -6,9 +6,12 @@
 
 use crate::entry::{Entry, EntryError, Id};
 use crate::segment::{scan, Ending, Scan, Writer, BEGINNING};
+use crate::spans::Span;
 use chalkgap_runtime::{Append, Shared};
+use std::collections::BTreeMap;
 use std::io;
 use std::path::{Path, PathBuf};
+use std::sync::{Arc, Mutex, PoisonError};
 
 /// Why a store does not open, or takes nothing more.
 #[derive(Debug, thiserror::Error)]
@@ -44,8 +47,33 @@
 /// A segment is begun anew past [`SEGMENT`]: one group may pass it by as much as a group has.
 const MOST_FILE: u64 = 1 << 30;
 
+/// Which segment holds which entries.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Index(BTreeMap<(u16, u64), Vec<(Span, u64)>>);
+
+impl Index {
+    fn note(&mut self, id: Id, segment: u64) {
+        let runs = self.0.entry((id.ingress, id.incarnation)).or_default();
+        match runs.last_mut() {
+            Some(((_, to), s)) if *s == segment && *to + 1 == id.number => *to = id.number,
+            _ => runs.push(((id.number, id.number), segment)),
+        }
+    }
+
+    /// The segments that hold any numbers of a span of an incarnation, each once, in order.
+    pub fn segments(&self, ingress: u16, incarnation: u64, (from, to): Span) -> Vec<u64> {
+        let runs = self.0.get(&(ingress, incarnation)).map(Vec::as_slice).unwrap_or_default();
+        let hit = runs.iter().filter(|(r, _)| r.0 <= to && r.1 >= from);
+        let mut list: Vec<u64> = hit.map(|r| r.1).collect();
+        list.sort_unstable();
+        list.dedup();
+        list
+    }
+}
+
 /// A log that is open for writing.
 pub struct Store {
+    index: Arc<Mutex<Index>>,
     runtime: Shared,
     folder: PathBuf,
     most: u64,
@@ -56,67 +84,111 @@
     stopped: Option<String>,
 }
 
-fn path(folder: &Path, number: u64) -> PathBuf {
+/// The file of a segment.
+pub fn path(folder: &Path, number: u64) -> PathBuf {
     folder.join(format!("{number:016}.seg"))
 }
 
-/// Reads all segments of a folder in order; each scan with its file. Nothing is changed.
+fn failed(path: &Path) -> impl FnOnce(io::Error) -> StoreError {
+    let path = path.to_owned();
+    move |error| StoreError::Io { path, error }
+}
+
+async fn segments(runtime: &Shared, folder: &Path) -> Result<Vec<PathBuf>, StoreError> {
+    let names = runtime.files().names(folder).await.map_err(failed(folder))?;
+    Ok(names.iter().filter(|n| n.ends_with(".seg")).map(|n| folder.join(n)).collect())
+}
+
+/// Reads all segments of a folder in order, one at a time, each scan with its file and whether it is the last one.
+/// Nothing is changed.
 ///
 /// # Errors
 /// The disk's. Damage is in the scans.
-pub async fn read(runtime: &Shared, folder: &Path) -> Result<Vec<(PathBuf, Scan)>, StoreError> {
-    let io = |path: &Path| {
-        let path = path.to_owned();
-        move |error| StoreError::Io { path, error }
-    };
-    let names = runtime.files().names(folder).await.map_err(io(folder))?;
-    let (mut list, mut chain) = (Vec::new(), BEGINNING);
-    for name in names.iter().filter(|n| n.ends_with(".seg")) {
-        let path = folder.join(name);
-        let bytes = runtime.files().read(&path, MOST_FILE).await.map_err(io(&path))?;
+pub async fn read(
+    runtime: &Shared,
+    folder: &Path,
+    mut each: impl FnMut(&Path, Scan, bool),
+) -> Result<(), StoreError> {
+    let (mut chain, paths) = (BEGINNING, segments(runtime, folder).await?);
+    for (n, path) in paths.iter().enumerate() {
+        let bytes = runtime.files().read(path, MOST_FILE).await.map_err(failed(path))?;
         let scan = scan(&bytes, Some(chain));
         chain = scan.chain;
-        list.push((path, scan));
+        each(path, scan, n + 1 == paths.len());
+    }
+    Ok(())
+}
+
+/// The entries of one segment, whatever was before it; of one that is being written to, the whole ones.
+///
+/// # Errors
+/// The disk's, or damage.
+pub async fn segment(runtime: &Shared, folder: &Path, number: u64) -> Result<Vec<Entry>, StoreError> {
+    let path = path(folder, number);
+    let bytes = runtime.files().read(&path, MOST_FILE).await.map_err(failed(&path))?;
+    let scan = scan(&bytes, None);
+    match scan.ending {
+        Ending::Damaged { at, what } => Err(StoreError::Damaged { path, at, what }),
+        Ending::Whole | Ending::Torn => Ok(scan.entries),
     }
-    Ok(list)
 }
 
 impl Store {
-    /// Opens a folder: every entry that was ever acknowledged, in order, and the store to go on with. A torn end is cut.
+    /// Opens a folder and hands over every entry that was ever acknowledged, in order; a torn end is cut. One segment at
+    /// a time is in memory.
     ///
     /// # Errors
     /// See [`StoreError`]; a damaged ledger is not written to.
-    pub async fn open(runtime: Shared, folder: &Path, most: u64) -> Result<(Store, Vec<Entry>), StoreError> {
-        let mut scans = read(&runtime, folder).await?;
-        let mut entries = Vec::new();
-        let count = scans.len();
-        let mut last = None;
-        for (n, (file, scan)) in scans.drain(..).enumerate() {
-            let damaged = |at: usize, what: String| StoreError::Damaged { path: file.clone(), at, what };
+    pub async fn open(
+        runtime: Shared,
+        folder: &Path,
+        most: u64,
+        mut each: impl FnMut(Entry),
+    ) -> Result<Store, StoreError> {
+        let (mut index, mut last, mut bad) = (Index::default(), None, None);
+        let mut expected = 0;
+        read(&runtime, folder, |file, scan, is_last| {
+            if bad.is_some() {
+                return;
+            }
+            expected += 1;
+            let mut damaged = |at: usize, what: String| {
+                bad = Some(StoreError::Damaged { path: file.to_owned(), at, what });
+            };
             match scan.ending {
                 Ending::Whole => {}
                 // Only the last one can have been written to when a crash came.
-                Ending::Torn if n + 1 == count => {}
-                Ending::Torn => return Err(damaged(scan.good, "torn, but others follow it".into())),
-                Ending::Damaged { at, what } => return Err(damaged(at, what)),
+                Ending::Torn if is_last => {}
+                Ending::Torn => return damaged(scan.good, "torn, but others follow it".into()),
+                Ending::Damaged { at, what } => return damaged(at, what),
             }
-            let expected = n as u64 + 1;
             if scan.number.is_some_and(|n| n != expected) || file != path(folder, expected) {
-                return Err(damaged(9, format!("expected segment {expected}")));
+                return damaged(9, format!("expected segment {expected}"));
             }
-            entries.extend(scan.entries);
             last = Some((expected, scan.good as u64, scan.chain));
+            for entry in scan.entries {
+                index.note(entry.id, expected);
+                each(entry);
+            }
+        })
+        .await?;
+        if let Some(bad) = bad {
+            return Err(bad);
         }
         // A segment whose very head is torn holds nothing: it is begun anew.
         let (number, good, chain) = last.unwrap_or((1, 0, BEGINNING));
         let file = path(folder, number);
         let opened = runtime.files().append(&file, good).await;
-        let opened = opened.map_err(|error| StoreError::Io { path: file, error })?;
+        let opened = opened.map_err(failed(&file))?;
         let writer = if good == 0 { Writer::new(number, chain) } else { Writer::resume(chain) };
         let folder = folder.to_owned();
-        let store =
-            Store { runtime, folder, most, number, length: good, writer, file: opened, stopped: None };
-        Ok((store, entries))
+        let (length, stopped, index) = (good, None, Arc::new(Mutex::new(index)));
+        Ok(Store { index, runtime, folder, most, number, length, writer, file: opened, stopped })
+    }
+
+    /// Which segment holds which entries.
+    pub fn index(&self) -> Arc<Mutex<Index>> {
+        self.index.clone()
     }
 
     /// Writes a group of entries and syncs it: acknowledged when this returns well.
@@ -158,17 +230,16 @@
         let io = |error| StoreError::Io { path: path(&self.folder, self.number), error };
         self.length += bytes.len() as u64;
         self.file.append(bytes).await.map_err(io)?;
-        self.file.sync().await.map_err(io)
+        self.file.sync().await.map_err(io)?;
+        let mut index = self.index.lock().unwrap_or_else(PoisonError::into_inner);
+        group.iter().for_each(|e| index.note(e.id, self.number));
+        Ok(())
     }
 }
 
-/// The numbers that an ingress may use in a new incarnation: from 1, as incarnations are never used twice. An ingress
-/// that was restored from an old copy of its disk has a later start than any that wrote it; where its clock was set
-/// back, it takes the time after the latest that is in the log.
-pub fn incarnation(entries: &[Entry], ingress: u16, now: u64) -> u64 {
-    let mine = entries.iter().filter(|e| e.id.ingress == ingress).map(|e: &Entry| {
-        let Id { incarnation, .. } = e.id;
-        incarnation
-    });
-    now.max(mine.max().map_or(0, |last| last + 1))
+/// The incarnation of a new start: a time later than that of any start that is in the log. An ingress that was restored
+/// from an old copy of its disk has a later start than any that wrote it; where its clock was set back, it takes the
+/// time after the latest.
+pub fn incarnation(latest: u64, now: u64) -> u64 {
+    now.max(latest.saturating_add(1))
 }
--- a/crates/pipe/src/lib.rs
+++ b/crates/pipe/src/lib.rs
@@ -1,6 +1,8 @@
 //! Moves bytes between a stream and a connection's state machine, for both sides: the one place that reads and writes.
 //! A task owns a [`Pipe`] and takes turns on it; others reach it by a bounded channel of commands.
 
+pub mod unary;
+
 use async_channel::Receiver;
 use bytes::Buf;
 use chalkgap_runtime::{Alarm, Micros, Shared, Stream};
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -69,6 +69,9 @@
     fn read<'a>(&'a self, path: &'a Path, most: u64) -> BoxFuture<'a, io::Result<Vec<u8>>>;
     /// Puts a file in place of another, whole or not at all: written beside it, synced, renamed, the folder synced.
     fn replace<'a>(&'a self, path: &'a Path, bytes: Vec<u8>) -> BoxFuture<'a, io::Result<()>>;
+    /// Puts a new file in place, whole or not at all, and syncs its folder; false where there is one of that name already,
+    /// which stays as it is. Of any number that try, one is told true.
+    fn create<'a>(&'a self, path: &'a Path, bytes: Vec<u8>) -> BoxFuture<'a, io::Result<bool>>;
     /// Something that changes when the file does: its time of change and its length.
     fn stamp<'a>(&'a self, path: &'a Path) -> BoxFuture<'a, io::Result<(Micros, u64)>>;
 }
--- a/crates/runtime/src/system.rs
+++ b/crates/runtime/src/system.rs
@@ -128,6 +128,20 @@
 static BESIDE: AtomicU64 = AtomicU64::new(0);
 
 fn replace(path: &Path, bytes: &[u8]) -> io::Result<()> {
+    whole(path, bytes, |beside| fs::rename(beside, path)).map(drop)
+}
+
+/// A link is made by one alone: the others find the name taken. What is there may be of a writer who crashed before its
+/// folder was synced: that is done here, whoever made it.
+fn create(path: &Path, bytes: &[u8]) -> io::Result<bool> {
+    whole(path, bytes, |beside| match fs::hard_link(beside, path) {
+        Err(e) if e.kind() == io::ErrorKind::AlreadyExists => fs::remove_file(beside).map(|()| false),
+        made => made.and_then(|()| fs::remove_file(beside)).map(|()| true),
+    })
+}
+
+/// Writes a file beside another, synced, puts it in its place and syncs the folder.
+fn whole<T>(path: &Path, bytes: &[u8], place: impl FnOnce(&Path) -> io::Result<T>) -> io::Result<T> {
     let mut beside = path.as_os_str().to_owned();
     beside.push(format!(".{}.{}.new", std::process::id(), BESIDE.fetch_add(1, Ordering::Relaxed)));
     let beside = PathBuf::from(beside);
@@ -135,9 +149,10 @@
         let mut file = fs::File::create(&beside)?;
         file.write_all(bytes)?;
         file.sync_all()?;
-        fs::rename(&beside, path)?;
+        let placed = place(&beside)?;
         let folder = path.parent().filter(|p| !p.as_os_str().is_empty()).unwrap_or(Path::new("."));
-        fs::File::open(folder)?.sync_all()
+        fs::File::open(folder)?.sync_all()?;
+        Ok(placed)
     })();
     if written.is_err() {
         let _ = fs::remove_file(&beside); // the error that counts is the one before
@@ -218,6 +233,11 @@
         Box::pin(blocking::unblock(move || replace(&path, &bytes)))
     }
 
+    fn create<'a>(&'a self, path: &'a Path, bytes: Vec<u8>) -> BoxFuture<'a, io::Result<bool>> {
+        let path = path.to_owned();
+        Box::pin(blocking::unblock(move || create(&path, &bytes)))
+    }
+
     fn stamp<'a>(&'a self, path: &'a Path) -> BoxFuture<'a, io::Result<(Micros, u64)>> {
         let path = path.to_owned();
         Box::pin(blocking::unblock(move || {
@@ -324,6 +344,11 @@
             system.files().replace(&path, b"one".to_vec()).await.unwrap();
             system.files().replace(&path, b"two".to_vec()).await.unwrap();
             assert_eq!(system.files().read(&path, 3).await.unwrap(), b"two");
+            assert!(!system.files().create(&path, b"new".to_vec()).await.unwrap(), "there is one");
+            assert_eq!(system.files().read(&path, 3).await.unwrap(), b"two");
+            assert!(system.files().create(&folder.join("new"), b"new".to_vec()).await.unwrap());
+            assert_eq!(system.files().read(&folder.join("new"), 3).await.unwrap(), b"new");
+            fs::remove_file(folder.join("new")).unwrap();
             let error = system.files().read(&path, 2).await.unwrap_err();
             assert_eq!(error.kind(), io::ErrorKind::FileTooLarge);
             assert_eq!(fs::read_dir(&folder).unwrap().count(), 1, "nothing is left beside");
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -3,6 +3,7 @@
 //! node lists, [`network`] loses datagrams. What passed on their sockets goes into a [`journal`], which is
 //! all that an auditor sees: no counter of an ingress is in it.
 
+pub mod billing;
 pub mod client;
 pub mod flood;
 pub mod journal;
--- a/crates/wire/src/intake.rs
+++ b/crates/wire/src/intake.rs
@@ -33,4 +33,11 @@
     /// For the client, as it is.
     #[prost(bytes = "bytes", tag = "1")]
     pub body: bytes::Bytes,
+    /// What it used; absent: what was asked for.
+    #[prost(uint32, optional, tag = "2")]
+    pub units: Option<u32>,
+    /// The request's key had come before: this attempt ran nothing, and `units`, if it is there, is what the request
+    /// used. If it is not there, the node cannot say whether an earlier attempt of the same request ran.
+    #[prost(bool, tag = "3")]
+    pub repeat: bool,
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -7,10 +7,16 @@
 //! - [`intake`]: the messages between ingress and intake node
 //! - [`orca`]: load reports of nodes (the text form of `endpoint-load-metrics`)
 //! - [`roster`]: the messages of a roster that pushes node lists
+//! - [`truth`]: what a node says about requests that it was sent
+//! - [`billing`]: what a billing consumer is told
+//! - [`fleet`]: calls between ingresses
 
+pub mod billing;
+pub mod fleet;
 pub mod grpc;
 pub mod http2;
 pub mod intake;
 pub mod orca;
 pub mod ratelimit;
 pub mod roster;
+pub mod truth;
