Ledger: tests of the clerk, and of disks that are slow, full or broken

What is promised is decided before a request is taken: seen from a client's socket with ENOSPC, EIO and a sync of 0.6 s. A node that has forgotten: presumed nought, corrected when it remembers. Doubts are bounded: the oldest are presumed at once.

--- a/crates/gateway/tests/ledger.rs
+++ b/crates/gateway/tests/ledger.rs
@@ -2,21 +2,25 @@
 
 mod common;
 
-use chalkgap::runtime::Shared;
+use chalkgap::runtime::system::System;
+use chalkgap::runtime::{
+    Append, BoxFuture, Datagrams, Files, Listener, Micros, Runtime, Shared, Stream, Task,
+};
 use chalkgap::settings::{Export, ExportTo, Ledger, LedgerGroup, OnFailure, Period, Settings};
 use chalkgap::Instance;
 use chalkgap_ledger::entry::Batch;
 use chalkgap_standin::billing::{Consumer, Faults as Wrong, Vault};
 use chalkgap_standin::client::Client;
-use chalkgap_standin::journal::Journal;
+use chalkgap_standin::journal::{Answer, Journal, Seen};
 use chalkgap_standin::node::{Faults, Machine, Node, Tally};
 use common::*;
 use prost::Message;
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 use std::collections::BTreeMap;
-use std::net::{SocketAddr, TcpListener};
-use std::path::PathBuf;
+use std::io;
+use std::net::{IpAddr, SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
 
@@ -216,3 +220,215 @@
     let seeds = std::env::var("CHALKGAP_SEEDS").ok().and_then(|s| s.parse().ok()).unwrap_or(4u64);
     (1..=seeds).for_each(three);
 }
+
+// ---- disks ----
+
+/// What is wrong with a disk.
+#[derive(Default)]
+struct Trouble {
+    /// How long a sync takes.
+    slow: AtomicU64,
+    /// The error of the next writes, by its number; 0: none.
+    errno: AtomicU64,
+}
+
+/// The system's world with a disk that can be told to misbehave.
+struct World(Arc<System>, Bad);
+
+struct Bad(Arc<System>, Arc<Trouble>);
+
+struct Log(Box<dyn Append>, Arc<System>, Arc<Trouble>);
+
+impl Append for Log {
+    fn append<'a>(&'a mut self, bytes: Vec<u8>) -> BoxFuture<'a, io::Result<()>> {
+        Box::pin(async move {
+            match self.2.errno.load(Ordering::Relaxed) {
+                0 => self.0.append(bytes).await,
+                n => Err(io::Error::from_raw_os_error(n as i32)),
+            }
+        })
+    }
+    fn sync<'a>(&'a mut self) -> BoxFuture<'a, io::Result<()>> {
+        Box::pin(async move {
+            self.1.sleep_until(self.1.now() + self.2.slow.load(Ordering::Relaxed)).await;
+            self.0.sync().await
+        })
+    }
+}
+
+impl Files for Bad {
+    fn append<'a>(&'a self, path: &'a Path, len: u64) -> BoxFuture<'a, io::Result<Box<dyn Append>>> {
+        Box::pin(async move {
+            let log = self.0.files().append(path, len).await?;
+            Ok(Box::new(Log(log, self.0.clone(), self.1.clone())) as Box<dyn Append>)
+        })
+    }
+    fn names<'a>(&'a self, folder: &'a Path) -> BoxFuture<'a, io::Result<Vec<String>>> {
+        self.0.files().names(folder)
+    }
+    fn read<'a>(&'a self, path: &'a Path, most: u64) -> BoxFuture<'a, io::Result<Vec<u8>>> {
+        self.0.files().read(path, most)
+    }
+    fn replace<'a>(&'a self, path: &'a Path, bytes: Vec<u8>) -> BoxFuture<'a, io::Result<()>> {
+        self.0.files().replace(path, bytes)
+    }
+    fn create<'a>(&'a self, path: &'a Path, bytes: Vec<u8>) -> BoxFuture<'a, io::Result<bool>> {
+        self.0.files().create(path, bytes)
+    }
+    fn stamp<'a>(&'a self, path: &'a Path) -> BoxFuture<'a, io::Result<(Micros, u64)>> {
+        self.0.files().stamp(path)
+    }
+}
+
+impl Runtime for World {
+    fn now(&self) -> Micros {
+        self.0.now()
+    }
+    fn sleep_until(&self, at: Micros) -> BoxFuture<'static, ()> {
+        self.0.sleep_until(at)
+    }
+    fn spawn(&self, task: BoxFuture<'static, ()>) -> Task {
+        self.0.spawn(task)
+    }
+    fn listen(&self, at: SocketAddr) -> io::Result<Box<dyn Listener>> {
+        self.0.listen(at)
+    }
+    fn connect_from(
+        &self,
+        from: Option<IpAddr>,
+        to: SocketAddr,
+    ) -> BoxFuture<'static, io::Result<Box<dyn Stream>>> {
+        self.0.connect_from(from, to)
+    }
+    fn datagrams(&self, at: SocketAddr) -> io::Result<Box<dyn Datagrams>> {
+        self.0.datagrams(at)
+    }
+    fn files(&self) -> &dyn Files {
+        &self.1
+    }
+    fn random(&self) -> u64 {
+        self.0.random()
+    }
+    fn descriptors(&self) -> u64 {
+        self.0.descriptors()
+    }
+}
+
+async fn on_disk(system: &Arc<System>, folder: &Folder, on_failure: OnFailure) -> (Small, Arc<Trouble>) {
+    let trouble = Arc::new(Trouble::default());
+    let world = World(system.clone(), Bad(system.clone(), trouble.clone()));
+    let mut settings = settings();
+    settings.ledger = Some(Ledger { on_failure, slow_ms: 100, ..ledger(folder, "0", None) });
+    let s = Small::start(Arc::new(world), settings, vec![Machine::default()]).await;
+    (s, trouble)
+}
+
+fn arrived(s: &Small) -> usize {
+    s.journal.entries().iter().filter(|e| matches!(e.1, Seen::Arrived { .. })).count()
+}
+
+/// ENOSPC and EIO: from then on requests are refused before they are taken, and told when to come back; what waited for
+/// the disk never reached a node.
+#[test]
+fn a_disk_that_fails_stops_taking_requests() {
+    for errno in [28, 5] {
+        run(|system| async move {
+            let folder = Folder::new();
+            let (s, trouble) = on_disk(&system, &folder, OnFailure::Refuse).await;
+            assert_eq!(s.client.call(&ask(1, "big", "sig-check")).await.answer, Answer::Served);
+            trouble.errno.store(errno, Ordering::Relaxed);
+            // Taken when all was well, and never sent: it says so, and does not say that it may have run... it failed.
+            let first = s.client.call(&ask(2, "big", "sig-check")).await.answer;
+            assert!(matches!(first, Answer::Failed { .. } | Answer::Refused { .. }), "{first:?}");
+            trouble.errno.store(0, Ordering::Relaxed);
+            for n in 3..6 {
+                let end = s.client.call(&ask(n, "big", "sig-check")).await.answer;
+                assert_eq!(end, Answer::Refused { pause: 700_000 }, "a disk that came back is not believed");
+            }
+            assert_eq!(arrived(&s), 1);
+            assert!(s.ingress.counts().ledger_refused >= 3);
+        });
+    }
+}
+
+#[test]
+fn or_serves_without_an_entry_where_the_settings_want_it() {
+    run(|system| async move {
+        let folder = Folder::new();
+        let (s, trouble) = on_disk(&system, &folder, OnFailure::Serve).await;
+        trouble.errno.store(28, Ordering::Relaxed);
+        for n in 0..5 {
+            assert_eq!(s.client.call(&ask(n, "big", "sig-check")).await.answer, Answer::Served);
+        }
+        assert!(s.ingress.counts().ledger_without >= 4);
+    });
+}
+
+/// A sync that takes longer than is allowed: those who come meanwhile are refused at once; the one that waits is served
+/// late or not at all, and nothing reaches a node before its entry is on the disk.
+#[test]
+fn a_slow_disk_refuses_until_it_has_caught_up() {
+    run(|system| async move {
+        let folder = Folder::new();
+        let (s, trouble) = on_disk(&system, &folder, OnFailure::Refuse).await;
+        assert_eq!(s.client.call(&ask(1, "big", "sig-check")).await.answer, Answer::Served);
+        trouble.slow.store(600_000, Ordering::Relaxed);
+        let client = Arc::new(s.client);
+        let waits = {
+            let client = client.clone();
+            s.runtime.spawn(Box::pin(async move {
+                assert_eq!(client.call(&ask(2, "big", "sig-check")).await.answer, Answer::Served);
+            }))
+        };
+        pause(&s.runtime, 250).await;
+        let begun = s.runtime.now();
+        let end = client.call(&ask(3, "big", "sig-check")).await.answer;
+        assert_eq!(end, Answer::Refused { pause: 700_000 });
+        assert!(s.runtime.now() - begun < 300_000, "at once");
+        assert_eq!(s.journal.entries().iter().filter(|e| matches!(e.1, Seen::Arrived { .. })).count(), 1);
+        waits.await;
+        trouble.slow.store(0, Ordering::Relaxed);
+        pause(&s.runtime, 700).await;
+        assert_eq!(client.call(&ask(4, "big", "sig-check")).await.answer, Answer::Served);
+    });
+}
+
+/// A folder that cannot be written, or holds a damaged ledger: the start says so, and nothing listens.
+#[test]
+fn a_bad_folder_is_told_at_the_start() {
+    run(|system| async move {
+        let folder = Folder::new();
+        let mut settings = settings();
+        settings.ledger = Some(ledger(&folder, "0", None));
+        std::fs::write(folder.0.join("0"), b"a file, no folder").unwrap();
+        let said =
+            Instance::start(settings.clone(), system.clone()).await.err().expect("no start").to_string();
+        assert!(said.starts_with("settings.ledger.folder: "), "{said}");
+        std::fs::remove_file(folder.0.join("0")).unwrap();
+        std::fs::create_dir(folder.0.join("0")).unwrap();
+        std::fs::write(folder.0.join("0/0000000000000001.seg"), b"something else").unwrap();
+        let said = Instance::start(settings, system).await.err().expect("no start").to_string();
+        assert!(said.contains("0000000000000001.seg: byte 0: expected a segment of a ledger"), "{said}");
+    });
+}
+
+/// A node that has forgotten: nobody is billed for what cannot be shown; when it remembers, a correction follows.
+#[test]
+fn an_end_that_nobody_knows_is_presumed_and_corrected_later() {
+    run(|system| async move {
+        let (folder, vault) = (Folder::new(), Vault::default());
+        let consumer = Consumer::start(system.clone(), port(), vault.clone(), 1).unwrap();
+        let mut settings = settings();
+        let mut l = ledger(&folder, "0", Some(ExportTo::Grpc(consumer.address())));
+        l.truth_ms = 200;
+        settings.ledger = Some(l);
+        let s = Small::start(system, settings, vec![Machine::default()]).await;
+        s.nodes[0].faults(Faults { halfway: 1.0, forgets: true, ..Faults::default() });
+        assert!(matches!(s.client.call(&ask(1, "big", "referral")).await.answer, Answer::Failed { .. }));
+        eventually(&s.runtime, "presumed", || s.ingress.counts().ledger_presumed == 1).await;
+        pause(&s.runtime, 1500).await; // its period is over, and nothing is billed
+        assert!(in_vault(&vault).is_empty());
+        s.nodes[0].faults(Faults::default());
+        eventually(&s.runtime, "corrected", || in_vault(&vault) == counted(&s.tallies)).await;
+    });
+}
--- a/crates/ledger/src/clerk.rs
+++ b/crates/ledger/src/clerk.rs
@@ -26,7 +26,7 @@
     pub later: Micros,
     /// How long to wait before a node is asked again.
     pub again: Micros,
-    /// Requests whose end is presumed that are remembered; beyond these, the oldest are left as they are.
+    /// Requests in doubt that are remembered; beyond these, the oldest are presumed, and not asked about any more.
     pub remembered: usize,
 }
 
@@ -396,6 +396,12 @@
             let presumed = self.doubts.iter().filter(|d| d.1.presumed).map(|d| *d.0);
             let list: Vec<Id> = presumed.take(self.doubts.len() - self.rules.remembered).collect();
             list.iter().for_each(|id| drop(self.doubts.remove(id)));
+            // More in doubt than there is room for: the oldest are presumed at once, and left at that.
+            while self.doubts.len() > self.rules.remembered {
+                let Some((id, _)) = self.doubts.pop_first() else { break };
+                self.presumed += 1;
+                self.settle(now, id, 0, true, String::new());
+            }
         }
     }
 
