Ledger: export and reconcile by hand, a lock on the folder, one hop a group commit

Operators of an ingress that is down need both; two writers of one folder would break its chain, so that the folder and the segment are locked (a write that a dropped instance left behind ends first).

--- a/crates/cli/tests/command.rs
+++ b/crates/cli/tests/command.rs
@@ -150,6 +150,23 @@
         (Some("acme"), Some(1), Some(4))
     );
     assert_eq!(code(&run(&["ledger", "verify", path])), 0);
+    // Handed over by hand: once, however often it is asked for.
+    let (to, copy) = (folder.with_extension("to"), folder.with_extension("copy"));
+    let export = |folder: &str| {
+        let to = to.to_str().unwrap();
+        let list = ["ledger", "export", folder, "--ingress", "1", "--group", "1", "--period", "60", "--json"];
+        let done = run(&[&list[..], &["--all", "--to", to]].concat());
+        assert_eq!(code(&done), 0, "{}", text(&done.stderr));
+        text(&done.stdout).to_owned()
+    };
+    assert!(export(path).contains(r#""number":1"#) && export(path).is_empty());
+    // A copy of the disk that is behind: reconciled, it knows what was handed over, and hands over nothing.
+    std::fs::create_dir_all(&copy).unwrap();
+    let reconciled = run(&["ledger", "reconcile", copy.to_str().unwrap(), path]);
+    assert!(text(&reconciled.stdout).contains(" entries taken, 0 conflicts"), "{}", text(&reconciled.stderr));
+    assert_eq!(export(copy.to_str().unwrap()), "");
+    std::fs::remove_dir_all(&copy).unwrap();
+    std::fs::remove_dir_all(&to).unwrap();
     let file = folder.join("0000000000000001.seg");
     let mut bytes = std::fs::read(&file).unwrap();
     bytes[60] ^= 1;
--- a/crates/gateway/src/ledger/consumer.rs
+++ b/crates/gateway/src/ledger/consumer.rs
@@ -5,15 +5,13 @@
 use crate::telemetry::add;
 use chalkgap_ledger::entry::{Batch, What};
 use chalkgap_ledger::export::{Exporter, Rules, Step, Stuck, Word};
+use chalkgap_ledger::folder;
 use chalkgap_pipe::unary;
 use chalkgap_wire::billing::{Hand, Handed, HAND};
 use chalkgap_wire::grpc;
 use prost::Message;
-use std::path::Path;
 use std::sync::Arc;
 
-/// Bytes of a batch.
-const MOST: usize = 8 << 20;
 /// Lines of a batch.
 const LINES: usize = 5000;
 /// Periods whose single requests are kept after they were exported, for ends that come late.
@@ -63,13 +61,15 @@
             }
             Some(Step::Hand(batch)) => {
                 let word = match &settings.to {
-                    ExportTo::Folder(folder) => drop_file(&desk, folder, &batch).await,
+                    ExportTo::Folder(folder) => folder::hand(&desk.runtime, folder, &batch).await,
                     ExportTo::Grpc(address) => {
                         let until = desk.runtime.now() + settings.patience_ms * 1000;
                         let (stream, number) = (batch.stream.clone(), batch.number);
                         let hand = Hand { stream, number, batch: batch.encode_to_vec().into() };
                         let hand = grpc::frame(&hand);
-                        let said = unary::call(&desk.runtime, *address, HAND, hand, MOST, until).await;
+                        let said =
+                            unary::call(&desk.runtime, *address, HAND, hand, folder::MOST as usize, until)
+                                .await;
                         said.ok()
                             .and_then(|m| Handed::decode(m).ok())
                             .map_or(Word::None, |h| word(&batch, &h))
@@ -99,32 +99,3 @@
         Err(_) => Word::None,
     }
 }
-
-/// The file of a batch.
-fn name(stream: &str, number: u64) -> String {
-    format!("{stream}.{number:012}.batch")
-}
-
-/// A folder as a consumer: whoever makes the file of a number first has handed it over.
-async fn drop_file(desk: &Desk, folder: &Path, batch: &Batch) -> Word {
-    let files = desk.runtime.files();
-    let Ok(names) = files.names(folder).await else { return Word::None };
-    let there = |number: u64| names.binary_search(&name(&batch.stream, number)).is_ok();
-    if batch.number > 1 && !there(batch.number - 1) {
-        let last = (1..batch.number).rev().find(|n| there(*n)).unwrap_or(0);
-        return Word::Ahead(last);
-    }
-    let path = folder.join(name(&batch.stream, batch.number));
-    match files.create(&path, batch.encode_to_vec()).await {
-        Ok(true) => Word::Taken,
-        Ok(false) => {
-            let there = files.read(&path, MOST as u64).await.ok().and_then(|b| Batch::decode(&b[..]).ok());
-            match there {
-                Some(there) if there == *batch => Word::Taken,
-                Some(there) => Word::Other(there),
-                None => Word::None,
-            }
-        }
-        Err(_) => Word::None,
-    }
-}
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -11,11 +11,13 @@
 //! - [`clerk`]: what an ingress writes, promises, presumes and closes
 //! - [`reconcile`]: how an ingress gets what others have
 //! - [`export`]: what is exported, by whom, exactly once
+//! - [`folder`]: a folder of files as its consumer
 
 pub mod book;
 pub mod clerk;
 pub mod entry;
 pub mod export;
+pub mod folder;
 pub mod period;
 pub mod reconcile;
 pub mod segment;
--- a/crates/ledger/src/store.rs
+++ b/crates/ledger/src/store.rs
@@ -81,6 +81,8 @@
     length: u64,
     writer: Writer,
     file: Box<dyn Append>,
+    /// Held as long as the store is: two that write would break the chain.
+    _lock: Box<dyn Append>,
     stopped: Option<String>,
 }
 
@@ -145,6 +147,9 @@
         most: u64,
         mut each: impl FnMut(Entry),
     ) -> Result<Store, StoreError> {
+        runtime.files().names(folder).await.map_err(failed(folder))?; // made where there is none
+        let lock = folder.join("lock");
+        let lock = runtime.files().append(&lock, 0).await.map_err(failed(&lock))?;
         let (mut index, mut last, mut bad) = (Index::default(), None, None);
         let mut expected = 0;
         read(&runtime, folder, |file, scan, is_last| {
@@ -183,7 +188,7 @@
         let writer = if good == 0 { Writer::new(number, chain) } else { Writer::resume(chain) };
         let folder = folder.to_owned();
         let (length, stopped, index) = (good, None, Arc::new(Mutex::new(index)));
-        Ok(Store { index, runtime, folder, most, number, length, writer, file: opened, stopped })
+        Ok(Store { index, runtime, folder, most, number, length, writer, file: opened, _lock: lock, stopped })
     }
 
     /// Which segment holds which entries.
@@ -229,8 +234,7 @@
         let bytes = self.writer.take();
         let io = |error| StoreError::Io { path: path(&self.folder, self.number), error };
         self.length += bytes.len() as u64;
-        self.file.append(bytes).await.map_err(io)?;
-        self.file.sync().await.map_err(io)?;
+        self.file.commit(bytes).await.map_err(io)?;
         let mut index = self.index.lock().unwrap_or_else(PoisonError::into_inner);
         group.iter().for_each(|e| index.note(e.id, self.number));
         Ok(())
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -57,11 +57,19 @@
     fn append<'a>(&'a mut self, bytes: Vec<u8>) -> BoxFuture<'a, io::Result<()>>;
     /// Ends when all that was appended is on the disk. After an error it may not be, whatever a second call says.
     fn sync<'a>(&'a mut self) -> BoxFuture<'a, io::Result<()>>;
+    /// Both, one after the other.
+    fn commit<'a>(&'a mut self, bytes: Vec<u8>) -> BoxFuture<'a, io::Result<()>> {
+        Box::pin(async move {
+            self.append(bytes).await?;
+            self.sync().await
+        })
+    }
 }
 
 /// Files: small ones that are kept whole, and logs.
 pub trait Files: Send + Sync {
     /// Opens a file to append to, made new and its folder synced where there is none, cut to `len` where it is longer.
+    /// It is this one's alone until it is dropped: `ResourceBusy` where somebody else has it.
     fn append<'a>(&'a self, path: &'a Path, len: u64) -> BoxFuture<'a, io::Result<Box<dyn Append>>>;
     /// The names in a folder, sorted; the folder is made where there is none.
     fn names<'a>(&'a self, folder: &'a Path) -> BoxFuture<'a, io::Result<Vec<String>>>;
--- a/crates/runtime/src/system.rs
+++ b/crates/runtime/src/system.rs
@@ -160,6 +160,21 @@
     written
 }
 
+/// Locks a file. Its last owner in this process may have been dropped in the middle of a write, which ends first.
+fn alone(file: &fs::File) -> io::Result<()> {
+    use rustix::fs::{flock, FlockOperation};
+    for _ in 0..LOCK_TRIES {
+        match flock(file, FlockOperation::NonBlockingLockExclusive) {
+            Err(e) if e == rustix::io::Errno::WOULDBLOCK => std::thread::sleep(Duration::from_millis(20)),
+            done => return Ok(done?),
+        }
+    }
+    Err(io::Error::new(io::ErrorKind::ResourceBusy, "somebody else is writing to it"))
+}
+
+/// With pauses of 20 ms: two seconds.
+const LOCK_TRIES: usize = 100;
+
 /// The file and whether a write or sync of it has failed.
 struct Log(Option<fs::File>);
 
@@ -185,6 +200,11 @@
     fn sync<'a>(&'a mut self) -> BoxFuture<'a, io::Result<()>> {
         Box::pin(self.with(|file| file.sync_data()))
     }
+
+    fn commit<'a>(&'a mut self, bytes: Vec<u8>) -> BoxFuture<'a, io::Result<()>> {
+        // One way to the other thread and back, not two.
+        Box::pin(self.with(move |file| file.write_all(&bytes).and_then(|()| file.sync_data())))
+    }
 }
 
 impl Files for Disk {
@@ -192,6 +212,7 @@
         let path = path.to_owned();
         Box::pin(blocking::unblock(move || {
             let file = fs::OpenOptions::new().create(true).append(true).open(&path)?;
+            alone(&file)?;
             if file.metadata()?.len() > len {
                 file.set_len(len)?;
             }
