--- a/crates/cli/src/ledger.rs
+++ b/crates/cli/src/ledger.rs
@@ -84,7 +84,11 @@
         if !folder.is_dir() {
             return fail(Exit::System, format!("{}: no such folder", folder.display()));
         }
-        let (mut book, mut bad) = (Book::new(Periods::Every(period * 1_000_000)), 0);
+        let mut book = match started(&runtime, folder, Periods::Every(period * 1_000_000)).await {
+            Ok(book) => book,
+            Err(e) => return fail(Exit::Bad, e),
+        };
+        let mut bad = 0;
         let verify = matches!(what, Ledger::Verify { .. });
         let done = read(&runtime, folder, |path, scan, last| {
             let conflicts = scan.entries.iter().filter(|e| book.take(e) == Taken::Conflict).count();
@@ -134,9 +138,17 @@
     })
 }
 
+/// The book that a folder's snapshot holds, or an empty one.
+async fn started(runtime: &Shared, folder: &Path, periods: Periods) -> Result<Book, StoreError> {
+    match store::snapshot(runtime, folder).await? {
+        Some(s) => Ok(Book::restore(periods, &s.book)?),
+        None => Ok(Book::new(periods)),
+    }
+}
+
 /// Takes over what another folder has.
 async fn reconcile(runtime: &Shared, folder: &Path, other: &Path) -> Result<Exit, StoreError> {
-    let mut book = Book::new(Periods::Every(1));
+    let mut book = started(runtime, folder, Periods::Every(1)).await?;
     let mut store = Store::open(runtime.clone(), folder, SEGMENT, |e| {
         book.take(&e);
     })
@@ -176,7 +188,9 @@
 impl ByHand<'_> {
     async fn export(&self, runtime: &Shared, to: Option<&Path>) -> Result<Exit, StoreError> {
         let periods = Periods::Every(self.period * 1_000_000);
-        let (mut book, mut recovery) = (Book::new(periods), Recovery::new(self.me));
+        let mut book = started(runtime, self.folder, periods).await?;
+        let mut recovery = Recovery::new(self.me);
+        recovery.restore(&book);
         let take = |e: Entry| {
             book.take(&e);
             recovery.take(&e);
--- a/crates/gateway/src/ledger/consumer.rs
+++ b/crates/gateway/src/ledger/consumer.rs
@@ -27,7 +27,7 @@
         lines: LINES,
     };
     let mut exporter = Exporter::new(desk.me, group, rules);
-    let mut told: Vec<(String, Stuck)> = Vec::new();
+    let (mut told, mut trimmed): (Vec<(String, Stuck)>, u64) = (Vec::new(), 0);
     loop {
         let step = {
             let book = lock(&desk.book);
@@ -47,8 +47,9 @@
                     book.tidy();
                     let now = desk.runtime.now();
                     if let Some(until) = exporter.until(now, &book).and_then(|u| u.checked_sub(KEEP)) {
-                        if book.exported_before(until) {
+                        if until > trimmed && book.exported_before(until) {
                             book.trim(until);
+                            trimmed = until;
                         }
                     }
                 }
--- a/crates/gateway/src/ledger/fleet.rs
+++ b/crates/gateway/src/ledger/fleet.rs
@@ -120,12 +120,12 @@
     Ok(grpc::frame(&seal.seal(path, false, from, question.nonce, body.into())))
 }
 
-/// What is durable here.
+/// What can be given from here: durable, and not condensed.
 fn have(desk: &Desk) -> Vec<Range> {
-    let book = lock(&desk.book);
-    let ranges = book.have().flat_map(|((ingress, incarnation), spans)| {
+    let index = lock(&desk.index);
+    let ranges = index.spans().flat_map(|((ingress, incarnation), spans)| {
         let ingress = u32::from(ingress);
-        spans.iter().map(move |(from, to)| Range { ingress, incarnation, from: *from, to: *to })
+        spans.into_iter().map(move |(from, to)| Range { ingress, incarnation, from, to })
     });
     ranges.take(RANGES).collect()
 }
--- a/crates/gateway/src/ledger/mod.rs
+++ b/crates/gateway/src/ledger/mod.rs
@@ -12,12 +12,12 @@
 use async_channel::{Receiver, Sender};
 use chalkgap_ledger::clerk::{Clerk, Fate, Promise, Recovery, Rules, Ticket};
 use chalkgap_ledger::entry::{Entry, Id, Open, What};
-use chalkgap_ledger::store::{self, Index, Store};
+use chalkgap_ledger::store::{self, Index, Snapshot, Store};
 use chalkgap_ledger::{Book, Periods, Taken};
 use chalkgap_runtime::{BoxFuture, Listener, Micros, Shared};
 use futures_lite::future;
 use std::collections::{BTreeMap, VecDeque};
-use std::sync::atomic::Ordering;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 /// How often time is looked at where nothing is written.
@@ -61,6 +61,8 @@
     index: Arc<Mutex<Index>>,
     wake: Sender<()>,
     copies: Sender<Copies>,
+    /// The segment that is written to.
+    current: AtomicU64,
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -104,12 +106,17 @@
         let periods = periods(settings.period);
         let (mut book, mut recovery, mut recent) = (Book::new(periods), Recovery::new(me), Recent::default());
         let mut conflicts = 0;
+        let ledger = |error| StartError::Ledger { error };
+        if let Some(s) = store::snapshot(runtime, &settings.folder).await.map_err(ledger)? {
+            book = Book::restore(periods, &s.book).map_err(|e| ledger(e.into()))?;
+            recovery.restore(&book);
+        }
         let store = Store::open(runtime.clone(), &settings.folder, settings.segment, |entry| {
             conflicts += u64::from(book.take(&entry) == Taken::Conflict);
             recovery.take(&entry);
             recent.add(&entry);
         });
-        let store = store.await.map_err(|error| StartError::Ledger { error })?;
+        let store = store.await.map_err(ledger)?;
         telemetry.ledger_conflicts.store(conflicts, Ordering::Relaxed);
         let now = runtime.now();
         let incarnation = store::incarnation(recovery.latest(), now);
@@ -137,6 +144,7 @@
             index: store.index(),
             wake,
             copies,
+            current: AtomicU64::new(store.current()),
         };
         let writer = Writer { store, woken, copies: copied, group };
         Ok(Some((Arc::new(desk), writer)))
@@ -150,8 +158,10 @@
         alive: &Receiver<()>,
     ) -> Vec<BoxFuture<'static, ()>> {
         let Writer { store, woken, copies, group } = writer;
+        let (sender, snapshots) = async_channel::bounded(1);
         let mut tasks: Vec<BoxFuture<'static, ()>> = vec![
-            Box::pin(write(self.clone(), store, woken, copies, driver)),
+            Box::pin(write(self.clone(), store, woken, copies, snapshots, driver)),
+            Box::pin(condense(self.clone(), sender)),
             Box::pin(truth::ask(self.clone(), alive.clone())),
         ];
         if let Some(listener) = group {
@@ -239,6 +249,7 @@
     mut store: Store,
     woken: Receiver<()>,
     copies: Receiver<Copies>,
+    snapshots: Receiver<Snapshot>,
     driver: Sender<Input>,
 ) {
     let (runtime, telemetry) = (desk.runtime.clone(), desk.telemetry.clone());
@@ -269,6 +280,12 @@
             group.extend(new);
             waiting.push(done);
         }
+        if let Ok(snapshot) = snapshots.try_recv() {
+            match store.compact(&snapshot).await {
+                Ok(()) => tracing::info!(until = snapshot.number, "ledger: segments condensed"),
+                Err(error) => tracing::warn!(%error, "ledger: segments could not be condensed, they stay"),
+            }
+        }
         if group.is_empty() {
             continue; // dropping `waiting` says that there was nothing to do
         }
@@ -300,8 +317,52 @@
                 clerk.returned(now, &group);
             }
         }
+        desk.current.store(store.current(), Ordering::Relaxed);
         if own.is_some() && driver.send(Input::Durable).await.is_err() {
             return;
         }
     }
 }
+
+/// How often there is a look whether segments can be condensed.
+const CONDENSE: Micros = 5_000_000;
+
+/// Makes snapshots in the place of old segments, as far as all in them is exported and old enough; the writer puts them
+/// there. What others lack of it they get no more, and neither does it make them wait.
+async fn condense(desk: Arc<Desk>, snapshots: Sender<Snapshot>) {
+    let (runtime, folder) = (desk.runtime.clone(), desk.settings.folder.clone());
+    let keep_for = desk.settings.keep_s * 1_000_000;
+    let mut looked = 0;
+    loop {
+        runtime.sleep_until(runtime.now() + CONDENSE.min(keep_for)).await;
+        let until = desk.current.load(Ordering::Relaxed).saturating_sub(1);
+        let (periods, keep) = {
+            let book = lock(&desk.book);
+            let keep = book.periods().of(runtime.now().saturating_sub(keep_for));
+            (book.periods(), if book.exported_before(keep) { keep } else { 0 })
+        };
+        if keep == 0 || until <= looked {
+            continue;
+        }
+        let done = async {
+            let Some(until) = store::older(&runtime, &folder, until, periods, keep).await? else {
+                return Ok(None);
+            };
+            store::condense(&runtime, &folder, periods, until, keep).await
+        };
+        match done.await {
+            Ok(None) => {}
+            Ok(Some(snapshot)) => {
+                looked = snapshot.number;
+                if snapshots.send(snapshot).await.is_err() {
+                    return; // the disk has failed
+                }
+                // Not again before it is in its place.
+                while !snapshots.is_empty() && !snapshots.is_closed() {
+                    runtime.sleep_until(runtime.now() + TICK).await;
+                }
+            }
+            Err(error) => tracing::warn!(%error, "ledger: segments could not be condensed, they stay"),
+        }
+    }
+}
--- a/crates/gateway/src/settings/mod.rs
+++ b/crates/gateway/src/settings/mod.rs
@@ -645,6 +645,10 @@
     #[serde(default = "segment")]
     #[garde(range(min = 4096, max = 64 << 20))]
     pub segment: u64,
+    /// How long single entries are kept after their period was exported: until then others can fetch them.
+    #[serde(default = "keep_s")]
+    #[garde(range(min = 1, max = 10 * 366 * 86_400))]
+    pub keep_s: u64,
     /// Ingresses that share their ledgers; none: this one alone.
     #[serde(default)]
     #[garde(dive)]
@@ -676,6 +680,9 @@
 fn ask_again_ms() -> u64 {
     1000
 }
+fn keep_s() -> u64 {
+    35 * 86_400
+}
 fn segment() -> u64 {
     8 << 20
 }
--- a/crates/gateway/tests/ledger.rs
+++ b/crates/gateway/tests/ledger.rs
@@ -58,6 +58,7 @@
         later_ms: 60_000,
         ask_again_ms: 50,
         segment: 64 << 10,
+        keep_s: 86_400,
         group: None,
         export,
     }
@@ -275,6 +276,9 @@
     fn create<'a>(&'a self, path: &'a Path, bytes: Vec<u8>) -> BoxFuture<'a, io::Result<bool>> {
         self.0.files().create(path, bytes)
     }
+    fn remove<'a>(&'a self, path: &'a Path) -> BoxFuture<'a, io::Result<()>> {
+        self.0.files().remove(path)
+    }
     fn stamp<'a>(&'a self, path: &'a Path) -> BoxFuture<'a, io::Result<(Micros, u64)>> {
         self.0.files().stamp(path)
     }
@@ -432,3 +436,38 @@
         eventually(&s.runtime, "corrected", || in_vault(&vault) == counted(&s.tallies)).await;
     });
 }
+
+/// Old segments give way to a snapshot, and a restart knows the same: what was billed is not billed again, and entries go on.
+#[test]
+fn old_segments_are_condensed_and_a_restart_goes_on() {
+    run(|system| async move {
+        let system: Shared = system;
+        let (folder, vault) = (Folder::new(), Vault::default());
+        let consumer = Consumer::start(system.clone(), port(), vault.clone(), 1).unwrap();
+        let mut settings = settings();
+        let l = ledger(&folder, "0", Some(ExportTo::Grpc(consumer.address())));
+        settings.ledger = Some(Ledger { keep_s: 1, segment: 4096, ..l });
+        let mut s = Small::start(system.clone(), settings.clone(), vec![Machine::default()]).await;
+        let files = |end: &str| {
+            let names = std::fs::read_dir(folder.0.join("0")).unwrap().map(|e| e.unwrap().file_name());
+            names.filter(|n| n.to_str().unwrap().ends_with(end)).count()
+        };
+        for life in 0..2u64 {
+            for n in 0..400 {
+                s.client.call(&ask(life * 1000 + n, "big", "sig-check")).await;
+                pause(&system, 12).await;
+            }
+            eventually(&system, "billed as counted", || in_vault(&vault) == counted(&s.tallies)).await;
+            assert_eq!(files(".snap"), 1, "one stands for all before it");
+            assert!(files(".seg") < 20, "400 requests are some 25 segments: {}", files(".seg"));
+            s.ingress.stop();
+            s.ingress = Instance::start(settings.clone(), system.clone()).await.unwrap();
+            s.ingress.nodes(list(&s.nodes.iter().collect::<Vec<_>>())).await;
+            let to = s.ingress.grpc_address();
+            s.client = Client::connect(system.clone(), to, 0, s.journal.clone()).await.unwrap();
+        }
+        pause(&system, 1500).await;
+        assert_eq!(in_vault(&vault), counted(&s.tallies));
+        assert_eq!(s.ingress.counts().ledger_conflicts, 0);
+    });
+}
--- a/crates/ledger/src/book.rs
+++ b/crates/ledger/src/book.rs
@@ -2,9 +2,11 @@
 //! the same entries give the same sums. It also knows what has been exported, as far as the consumer's acknowledgements
 //! say, and which periods are complete.
 
-use crate::entry::{Batch, Correction, Entry, Id, Line, Range, Settled, What};
+use crate::entry::{Batch, Correction, Entry, EntryError, Id, Line, Range, Settled, What};
 use crate::period::Periods;
 use crate::spans::{self, Span};
+use crate::Micros;
+use prost::Message;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// An account's use under a plan in a period.
@@ -109,6 +111,109 @@
     /// Uses before this period are put away.
     trimmed: u64,
     strays: u64,
+    /// The latest time that each ingress wrote at.
+    at: BTreeMap<u16, Micros>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct RawSum {
+    #[prost(uint64, tag = "1")]
+    period: u64,
+    #[prost(string, tag = "2")]
+    account: String,
+    #[prost(string, tag = "3")]
+    plan: String,
+    #[prost(sint64, tag = "4")]
+    units: i64,
+    #[prost(uint64, tag = "5")]
+    requests: u64,
+    #[prost(uint64, tag = "6")]
+    presumed: u64,
+    #[prost(sint64, tag = "7")]
+    exported_units: i64,
+    #[prost(sint64, tag = "8")]
+    exported_requests: i64,
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct RawLife {
+    #[prost(message, repeated, tag = "1")]
+    have: Vec<Range>,
+    #[prost(uint64, tag = "2")]
+    before: u64,
+    #[prost(uint64, tag = "3")]
+    number: u64,
+}
+
+#[derive(Clone, Copy, PartialEq, Message)]
+struct RawIngress {
+    #[prost(uint32, tag = "1")]
+    ingress: u32,
+    #[prost(uint64, tag = "2")]
+    at: u64,
+    #[prost(uint64, optional, tag = "3")]
+    closed: Option<u64>,
+    #[prost(uint64, tag = "4")]
+    incarnation: u64,
+    #[prost(uint64, tag = "5")]
+    number: u64,
+}
+
+/// A request that was open.
+#[derive(Clone, PartialEq, Message)]
+struct RawUse {
+    #[prost(message, optional, tag = "1")]
+    range: Option<Range>,
+    #[prost(string, tag = "2")]
+    account: String,
+    #[prost(string, tag = "3")]
+    plan: String,
+    #[prost(uint64, tag = "4")]
+    period: u64,
+    #[prost(uint64, tag = "5")]
+    units: u64,
+    #[prost(bool, tag = "6")]
+    corrected: bool,
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct RawStream {
+    #[prost(string, tag = "1")]
+    name: String,
+    #[prost(uint64, tag = "2")]
+    done: u64,
+    #[prost(uint64, optional, tag = "3")]
+    until: Option<u64>,
+}
+
+/// A book as bytes.
+#[derive(Clone, PartialEq, Message)]
+struct RawBook {
+    #[prost(uint64, tag = "1")]
+    trimmed: u64,
+    #[prost(message, repeated, tag = "2")]
+    sums: Vec<RawSum>,
+    #[prost(message, repeated, tag = "3")]
+    lives: Vec<RawLife>,
+    #[prost(message, repeated, tag = "4")]
+    ingresses: Vec<RawIngress>,
+    #[prost(message, repeated, tag = "5")]
+    streams: Vec<RawStream>,
+    #[prost(message, repeated, tag = "6")]
+    basis: Vec<Range>,
+    #[prost(uint64, tag = "7")]
+    strays: u64,
+    #[prost(message, repeated, tag = "8")]
+    open: Vec<RawUse>,
+}
+
+fn ranges(lives: &BTreeMap<(u16, u64), Vec<Span>>) -> Vec<Range> {
+    lives.iter().flat_map(|(life, spans)| of_life(*life, spans)).collect()
+}
+
+fn of_life((ingress, incarnation): (u16, u64), spans: &[Span]) -> Vec<Range> {
+    let ingress = u32::from(ingress);
+    spans.iter().map(|(from, to)| Range { ingress, incarnation, from: *from, to: *to }).collect()
 }
 
 fn mark(entry: &Entry) -> u32 {
@@ -136,7 +241,135 @@
             basis: BTreeMap::new(),
             trimmed: 0,
             strays: 0,
+            at: BTreeMap::new(),
+        }
+    }
+
+    /// The book as bytes. Requests that are open are in it. None where it would lose something: requests that have ended
+    /// and were not put away, what came before what it belongs to, batches without a word.
+    pub fn snapshot(&self) -> Option<Vec<u8>> {
+        let unfinished = |s: &Stream| !s.batches.is_empty() || !s.acknowledged.is_empty();
+        let single = self.lives.values().any(|l| l.uses.values().any(|u| u.end.is_some()));
+        if single || !self.early.is_empty() || self.streams.values().any(unfinished) {
+            return None;
         }
+        let sum = |(period, payer): &(u64, Payer)| {
+            let key = (*period, *payer);
+            let (account, plan) = self.payers[*payer as usize].clone();
+            let s = self.sums.get(&key).copied().unwrap_or_default();
+            let (exported_units, exported_requests) = self.exported.get(&key).copied().unwrap_or_default();
+            let Sum { units, requests, presumed, .. } = s;
+            RawSum {
+                period: *period,
+                account,
+                plan,
+                units,
+                requests,
+                presumed,
+                exported_units,
+                exported_requests,
+            }
+        };
+        let keys: BTreeSet<(u64, Payer)> = self.sums.keys().chain(self.exported.keys()).copied().collect();
+        let life = |(key, l): (&(u16, u64), &Life)| {
+            let (before, number) = l.before.unwrap_or_default();
+            RawLife { have: of_life(*key, &l.have), before, number }
+        };
+        let ingress = |(no, at): (&u16, &Micros)| {
+            let closed = self.closed.get(no);
+            let (_, incarnation, number) = closed.copied().unwrap_or_default();
+            let closed = closed.map(|c| c.0);
+            RawIngress { ingress: (*no).into(), at: *at, closed, incarnation, number }
+        };
+        let stream =
+            |(name, s): (&String, &Stream)| RawStream { name: name.clone(), done: s.done, until: s.until };
+        let mut open = Vec::new();
+        for ((ingress, incarnation), life) in &self.lives {
+            for (number, u) in &life.uses {
+                let (ingress, incarnation) = (u32::from(*ingress), *incarnation);
+                let range = Some(Range { ingress, incarnation, from: *number, to: *number });
+                let (account, plan) = self.payers[u.payer as usize].clone();
+                let Use { period, units, corrected, .. } = *u;
+                open.push(RawUse { range, account, plan, period, units, corrected });
+            }
+        }
+        let raw = RawBook {
+            open,
+            trimmed: self.trimmed,
+            sums: keys.iter().map(sum).collect(),
+            lives: self.lives.iter().map(life).collect(),
+            ingresses: self.at.iter().map(ingress).collect(),
+            streams: self.streams.iter().map(stream).collect(),
+            basis: ranges(&self.basis),
+            strays: self.strays,
+        };
+        Some(raw.encode_to_vec())
+    }
+
+    /// A book that was made bytes of.
+    ///
+    /// # Errors
+    /// They are none.
+    pub fn restore(periods: Periods, bytes: &[u8]) -> Result<Book, EntryError> {
+        let raw = RawBook::decode(bytes)?;
+        let mut book = Book::new(periods);
+        let small =
+            |n: u32| u16::try_from(n).map_err(|_| EntryError::Value("ingress", n.into(), "at most 65,535"));
+        let range = |r: &Range| -> Result<((u16, u64), Span), EntryError> {
+            if r.from == 0 || r.from > r.to || r.to == u64::MAX {
+                return Err(EntryError::Value("range's end", r.to, "its beginning or more"));
+            }
+            Ok(((small(r.ingress)?, r.incarnation), (r.from, r.to)))
+        };
+        for s in raw.sums {
+            let key = (s.period, book.payer(&s.account, &s.plan));
+            let sum = Sum { units: s.units, requests: s.requests, presumed: s.presumed, open: 0 };
+            book.sums.insert(key, sum);
+            book.exported.insert(key, (s.exported_units, s.exported_requests));
+            book.dirty.insert(key);
+        }
+        for l in raw.lives {
+            for r in &l.have {
+                let (key, span) = range(r)?;
+                let life = book.lives.entry(key).or_default();
+                spans::add_span(&mut life.have, span);
+                life.before = (l.before > 0).then_some((l.before, l.number));
+            }
+        }
+        for i in raw.ingresses {
+            let no = small(i.ingress)?;
+            book.at.insert(no, i.at);
+            if let Some(period) = i.closed {
+                book.closed.insert(no, (period, i.incarnation, i.number));
+            }
+        }
+        for s in raw.streams {
+            let stream = Stream { done: s.done, until: s.until, ..Stream::default() };
+            book.streams.insert(s.name, stream);
+        }
+        for r in &raw.basis {
+            let (key, span) = range(r)?;
+            spans::add_span(book.basis.entry(key).or_default(), span);
+        }
+        for u in raw.open {
+            let (key, (number, _)) = range(&u.range.unwrap_or_default())?;
+            let (payer, RawUse { period, units, corrected, .. }) = (book.payer(&u.account, &u.plan), u);
+            let sum = book.sums.entry((period, payer)).or_default();
+            sum.open = sum.open.saturating_add(units);
+            *book.open.entry(period).or_default() += 1;
+            let life = book.lives.entry(key).or_default();
+            life.uses.insert(number, Use { payer, period, units, end: None, corrected });
+        }
+        (book.trimmed, book.strays) = (raw.trimmed, raw.strays);
+        book.tidy();
+        Ok(book)
+    }
+
+    /// The latest incarnation of an ingress, the last of its numbers and the latest time that it wrote at.
+    pub fn latest(&self, ingress: u16) -> (u64, u64, Micros) {
+        let life = self.lives.range((ingress, 0)..=(ingress, u64::MAX)).next_back();
+        let (incarnation, number) = life.map_or((0, 0), |(k, l)| (k.1, l.have.last().map_or(0, |s| s.1)));
+        (incarnation, number, self.at.get(&ingress).copied().unwrap_or(0))
     }
 
     /// How it cuts time.
@@ -160,6 +393,8 @@
         }
         life.marks.entry(slot.0).or_insert_with(|| Box::new([0; BLOCK as usize]))[slot.1] = mark;
         spans::add(&mut life.have, id.number);
+        let at = self.at.entry(id.ingress).or_default();
+        *at = (*at).max(entry.at);
         match &entry.what {
             What::Open(o) => {
                 let (period, payer) = (self.periods.of(entry.at), self.payer(&o.account, &o.plan));
@@ -436,10 +671,7 @@
 
     /// Puts away the single requests of periods before one; their sums stay. Those that are open stay as well.
     pub fn trim(&mut self, before: u64) {
-        if before <= self.trimmed {
-            return;
-        }
-        self.trimmed = before;
+        self.trimmed = self.trimmed.max(before);
         for life in self.lives.values_mut() {
             life.uses.retain(|_, u| u.period >= before || u.end.is_none());
         }
--- a/crates/ledger/src/clerk.rs
+++ b/crates/ledger/src/clerk.rs
@@ -4,6 +4,7 @@
 //! An entry is *written* when the clerk makes it and *durable* when the disk has it; a request goes to a node only after
 //! its open entry is durable. Entries become durable in the order of their numbers.
 
+use crate::book::Book;
 use crate::entry::{Again, Closed, Correction, Entry, Id, Open, Opened, Settled, What};
 use crate::period::Periods;
 use crate::Micros;
@@ -124,6 +125,11 @@
         Recovery { me, ..Recovery::default() }
     }
 
+    /// What a snapshot stands for. What is open in it is ended in the segments that follow: it is made of what is exported.
+    pub fn restore(&mut self, book: &Book) {
+        (self.latest, self.last_number, self.last_at) = book.latest(self.me);
+    }
+
     /// An entry of the log: any ingress's, in any order.
     pub fn take(&mut self, entry: &Entry) {
         if entry.id.ingress != self.me {
--- a/crates/ledger/src/segment.rs
+++ b/crates/ledger/src/segment.rs
@@ -108,6 +108,13 @@
 
 /// Reads a segment that is to go on from `chain`; none: whatever it says itself.
 pub fn scan(bytes: &[u8], chain: Option<[u8; CHAIN]>) -> Scan {
+    let mut scan = head(bytes, chain);
+    while some(&mut scan, bytes, usize::MAX) {}
+    scan
+}
+
+/// Reads a segment's head. The scan goes on with [`some`].
+pub fn head(bytes: &[u8], chain: Option<[u8; CHAIN]>) -> Scan {
     let mut scan = Scan {
         number: None,
         entries: Vec::new(),
@@ -139,24 +146,33 @@
         return scan;
     }
     (scan.chain, scan.good) = (begins, HEAD);
-    loop {
+    scan
+}
+
+/// Reads at most `most` more entries; false when the scan is at its end.
+pub fn some(scan: &mut Scan, bytes: &[u8], most: usize) -> bool {
+    if scan.number.is_none() || scan.ending != Ending::Whole {
+        return false;
+    }
+    let damaged = |at: usize, what: String| Ending::Damaged { at, what };
+    for _ in 0..most {
         let at = scan.good;
         let rest = &bytes[at..];
         if rest.is_empty() {
-            return scan;
+            return false;
         }
         if rest.len() < RECORD {
             scan.ending = Ending::Torn;
-            return scan;
+            return false;
         }
         let len = u32::from_be_bytes([rest[0], rest[1], rest[2], rest[3]]) as usize;
         if len > MOST_ENTRY {
             scan.ending = damaged(at, format!("an entry of {len} bytes, at most {MOST_ENTRY}"));
-            return scan;
+            return false;
         }
         if rest.len() < RECORD + len {
             scan.ending = Ending::Torn;
-            return scan;
+            return false;
         }
         let payload = &rest[RECORD..RECORD + len];
         let value = next(&scan.chain, payload);
@@ -165,15 +181,16 @@
             let last = rest.len() == RECORD + len;
             let what = "the record does not fit the one before it: changed, moved, or one is missing";
             scan.ending = if last { Ending::Torn } else { damaged(at, what.into()) };
-            return scan;
+            return false;
         }
         match Entry::decode(payload) {
             Ok(entry) => scan.entries.push(entry),
             Err(e) => {
                 scan.ending = damaged(at, e.to_string());
-                return scan;
+                return false;
             }
         }
         (scan.chain, scan.good) = (value, at + RECORD + len);
     }
+    true
 }
--- a/crates/ledger/src/store.rs
+++ b/crates/ledger/src/store.rs
@@ -3,11 +3,17 @@
 //! A group of entries is written and synced as one; it is acknowledged when [`Store::commit`] returns well, and from
 //! then on no crash loses it. After a failed write or sync nothing is known of what reached the disk: the store is
 //! stopped for good, and only opening it anew, which reads what is there, tells.
+//!
+//! `NUMBER.snap` stands for all segments up to that number: what the book made of them, and where the chain was. It is
+//! put in place whole and synced before any of them is removed; what a crash left of them is passed over and removed.
 
+use crate::book::Book;
 use crate::entry::{Entry, EntryError, Id};
-use crate::segment::{scan, Ending, Scan, Writer, BEGINNING};
+use crate::period::Periods;
+use crate::segment::{self, scan, Ending, Scan, Writer, BEGINNING};
 use crate::spans::Span;
 use chalkgap_runtime::{Append, Shared};
+use futures_lite::future;
 use std::collections::BTreeMap;
 use std::io;
 use std::path::{Path, PathBuf};
@@ -60,6 +66,20 @@
         }
     }
 
+    fn forget(&mut self, until: u64) {
+        self.0.values_mut().for_each(|runs| runs.retain(|r| r.1 > until));
+        self.0.retain(|_, runs| !runs.is_empty());
+    }
+
+    /// What the segments hold, by ingress and incarnation.
+    pub fn spans(&self) -> impl Iterator<Item = ((u16, u64), Vec<Span>)> + '_ {
+        self.0.iter().map(|(life, runs)| {
+            let mut spans = Vec::new();
+            runs.iter().for_each(|r| crate::spans::add_span(&mut spans, r.0));
+            (*life, spans)
+        })
+    }
+
     /// The segments that hold any numbers of a span of an incarnation, each once, in order.
     pub fn segments(&self, ingress: u16, incarnation: u64, (from, to): Span) -> Vec<u64> {
         let runs = self.0.get(&(ingress, incarnation)).map(Vec::as_slice).unwrap_or_default();
@@ -91,17 +111,77 @@
     folder.join(format!("{number:016}.seg"))
 }
 
+/// What stands for the first segments of a folder.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Snapshot {
+    /// The last of them.
+    pub number: u64,
+    /// Where the chain was after it.
+    pub chain: [u8; 16],
+    /// What the book made of them.
+    pub book: Vec<u8>,
+}
+
+const SNAP_MAGIC: &[u8; 8] = b"chalksnp";
+const SNAP_VERSION: u8 = 1;
+const SNAP_HEAD: usize = 8 + 1 + 8 + 16;
+const HASH: usize = 32;
+
+impl Snapshot {
+    fn encode(&self) -> Vec<u8> {
+        let mut out = SNAP_MAGIC.to_vec();
+        out.push(SNAP_VERSION);
+        out.extend_from_slice(&self.number.to_be_bytes());
+        out.extend_from_slice(&self.chain);
+        out.extend_from_slice(&self.book);
+        let hash = blake3::hash(&out);
+        out.extend_from_slice(hash.as_bytes());
+        out
+    }
+
+    fn decode(bytes: &[u8]) -> Result<Snapshot, String> {
+        if bytes.len() < SNAP_HEAD + HASH || bytes[..8] != SNAP_MAGIC[..] {
+            return Err("expected a snapshot of a ledger".into());
+        }
+        if bytes[8] != SNAP_VERSION {
+            return Err(format!("version {}, expected {SNAP_VERSION}", bytes[8]));
+        }
+        let (body, hash) = bytes.split_at(bytes.len() - HASH);
+        if blake3::hash(body).as_bytes()[..] != *hash {
+            return Err("its hash does not fit: it was changed".into());
+        }
+        let (mut number, mut chain) = ([0; 8], [0; 16]);
+        number.copy_from_slice(&body[9..17]);
+        chain.copy_from_slice(&body[17..SNAP_HEAD]);
+        Ok(Snapshot { number: u64::from_be_bytes(number), chain, book: body[SNAP_HEAD..].to_vec() })
+    }
+}
+
+/// The snapshot of a folder, if there is one.
+///
+/// # Errors
+/// The disk's, or damage.
+pub async fn snapshot(runtime: &Shared, folder: &Path) -> Result<Option<Snapshot>, StoreError> {
+    let names = runtime.files().names(folder).await.map_err(failed(folder))?;
+    let Some(name) = names.iter().rfind(|n| n.ends_with(".snap")) else { return Ok(None) };
+    let path = folder.join(name);
+    let bytes = runtime.files().read(&path, MOST_FILE).await.map_err(failed(&path))?;
+    Snapshot::decode(&bytes).map(Some).map_err(|what| StoreError::Damaged { path, at: 0, what })
+}
+
 fn failed(path: &Path) -> impl FnOnce(io::Error) -> StoreError {
     let path = path.to_owned();
     move |error| StoreError::Io { path, error }
 }
 
-async fn segments(runtime: &Shared, folder: &Path) -> Result<Vec<PathBuf>, StoreError> {
+/// The segments that no snapshot stands for.
+async fn segments(runtime: &Shared, folder: &Path, after: u64) -> Result<Vec<PathBuf>, StoreError> {
     let names = runtime.files().names(folder).await.map_err(failed(folder))?;
-    Ok(names.iter().filter(|n| n.ends_with(".seg")).map(|n| folder.join(n)).collect())
+    let last = format!("{after:016}.seg");
+    Ok(names.iter().filter(|n| n.ends_with(".seg") && **n > last).map(|n| folder.join(n)).collect())
 }
 
-/// Reads all segments of a folder in order, one at a time, each scan with its file and whether it is the last one.
+/// Reads all segments of a folder in order, those that a snapshot stands for aside, one at a time, each scan with its file and whether it is the last one.
 /// Nothing is changed.
 ///
 /// # Errors
@@ -111,7 +191,9 @@
     folder: &Path,
     mut each: impl FnMut(&Path, Scan, bool),
 ) -> Result<(), StoreError> {
-    let (mut chain, paths) = (BEGINNING, segments(runtime, folder).await?);
+    let snapshot = snapshot(runtime, folder).await?;
+    let (mut chain, after) = snapshot.map_or((BEGINNING, 0), |s| (s.chain, s.number));
+    let paths = segments(runtime, folder, after).await?;
     for (n, path) in paths.iter().enumerate() {
         let bytes = runtime.files().read(path, MOST_FILE).await.map_err(failed(path))?;
         let scan = scan(&bytes, Some(chain));
@@ -121,6 +203,18 @@
     Ok(())
 }
 
+/// Entries that are read without a pause.
+const CALM: usize = 256;
+
+/// Reads a segment with pauses: others run on the same thread.
+async fn calmly(bytes: &[u8], chain: Option<[u8; 16]>) -> Scan {
+    let mut scan = segment::head(bytes, chain);
+    while segment::some(&mut scan, bytes, CALM) {
+        future::yield_now().await;
+    }
+    scan
+}
+
 /// The entries of one segment, whatever was before it; of one that is being written to, the whole ones.
 ///
 /// # Errors
@@ -128,7 +222,7 @@
 pub async fn segment(runtime: &Shared, folder: &Path, number: u64) -> Result<Vec<Entry>, StoreError> {
     let path = path(folder, number);
     let bytes = runtime.files().read(&path, MOST_FILE).await.map_err(failed(&path))?;
-    let scan = scan(&bytes, None);
+    let scan = calmly(&bytes, None).await;
     match scan.ending {
         Ending::Damaged { at, what } => Err(StoreError::Damaged { path, at, what }),
         Ending::Whole | Ending::Torn => Ok(scan.entries),
@@ -136,8 +230,8 @@
 }
 
 impl Store {
-    /// Opens a folder and hands over every entry that was ever acknowledged, in order; a torn end is cut. One segment at
-    /// a time is in memory.
+    /// Opens a folder and hands over every entry that was ever acknowledged, in order, but for those that its
+    /// [`snapshot`] stands for; a torn end is cut. One segment at a time is in memory.
     ///
     /// # Errors
     /// See [`StoreError`]; a damaged ledger is not written to.
@@ -151,7 +245,9 @@
         let lock = folder.join("lock");
         let lock = runtime.files().append(&lock, 0).await.map_err(failed(&lock))?;
         let (mut index, mut last, mut bad) = (Index::default(), None, None);
-        let mut expected = 0;
+        let snapshot = snapshot(&runtime, folder).await?;
+        let (after, chain) = snapshot.map_or((0, BEGINNING), |s| (s.number, s.chain));
+        let mut expected = after;
         read(&runtime, folder, |file, scan, is_last| {
             if bad.is_some() {
                 return;
@@ -181,7 +277,7 @@
             return Err(bad);
         }
         // A segment whose very head is torn holds nothing: it is begun anew.
-        let (number, good, chain) = last.unwrap_or((1, 0, BEGINNING));
+        let (number, good, chain) = last.unwrap_or((after + 1, 0, chain));
         let file = path(folder, number);
         let opened = runtime.files().append(&file, good).await;
         let opened = opened.map_err(failed(&file))?;
@@ -191,6 +287,34 @@
         Ok(Store { index, runtime, folder, most, number, length, writer, file: opened, _lock: lock, stopped })
     }
 
+    /// The segment that is written to: those before it are whole.
+    pub fn current(&self) -> u64 {
+        self.number
+    }
+
+    /// Puts a snapshot in the place of segments that are whole, and removes them.
+    ///
+    /// # Errors
+    /// The disk's: nothing is lost by it, and the log goes on.
+    pub async fn compact(&mut self, snapshot: &Snapshot) -> Result<(), StoreError> {
+        let name = |n: u64| self.folder.join(format!("{n:016}.snap"));
+        let path = name(snapshot.number);
+        let files = self.runtime.files();
+        files.replace(&path, snapshot.encode()).await.map_err(failed(&path))?;
+        {
+            let mut index = self.index.lock().unwrap_or_else(PoisonError::into_inner);
+            index.forget(snapshot.number);
+        }
+        let names = files.names(&self.folder).await.map_err(failed(&self.folder))?;
+        let (seg, snap) = (format!("{:016}.seg", snapshot.number), format!("{:016}.snap", snapshot.number));
+        let old = |n: &&String| (n.ends_with(".seg") && **n <= seg) || (n.ends_with(".snap") && **n < snap);
+        for name in names.iter().filter(old) {
+            let path = self.folder.join(name);
+            files.remove(&path).await.map_err(failed(&path))?;
+        }
+        Ok(())
+    }
+
     /// Which segment holds which entries.
     pub fn index(&self) -> Arc<Mutex<Index>> {
         self.index.clone()
@@ -241,6 +365,68 @@
     }
 }
 
+/// The last segment, up to `until`, before which and in which all was written before a period began.
+///
+/// # Errors
+/// The disk's, or damage.
+pub async fn older(
+    runtime: &Shared,
+    folder: &Path,
+    until: u64,
+    periods: Periods,
+    keep: u64,
+) -> Result<Option<u64>, StoreError> {
+    let after = snapshot(runtime, folder).await?.map_or(0, |s| s.number);
+    let mut found = None;
+    for number in after + 1..=until {
+        let old = segment(runtime, folder, number).await?.iter().all(|e| periods.of(e.at) < keep);
+        if !old {
+            break;
+        }
+        found = Some(number);
+    }
+    Ok(found)
+}
+
+/// What stands for the segments up to one: the book that those before and they make, with the single requests of periods
+/// before `keep` put away. None where something of them is still needed as it is.
+///
+/// # Errors
+/// The disk's, or damage.
+pub async fn condense(
+    runtime: &Shared,
+    folder: &Path,
+    periods: Periods,
+    until: u64,
+    keep: u64,
+) -> Result<Option<Snapshot>, StoreError> {
+    let old = snapshot(runtime, folder).await?;
+    let (mut chain, after) = old.as_ref().map_or((BEGINNING, 0), |s| (s.chain, s.number));
+    let mut book = match &old {
+        Some(s) => Book::restore(periods, &s.book)?,
+        None => Book::new(periods),
+    };
+    for number in after + 1..=until {
+        let path = path(folder, number);
+        let bytes = runtime.files().read(&path, MOST_FILE).await.map_err(failed(&path))?;
+        let scan = calmly(&bytes, Some(chain)).await;
+        if scan.ending != Ending::Whole {
+            let what = "expected a whole segment".into();
+            return Err(StoreError::Damaged { path, at: scan.good, what });
+        }
+        chain = scan.chain;
+        for part in scan.entries.chunks(CALM) {
+            part.iter().for_each(|e| {
+                book.take(e);
+            });
+            future::yield_now().await;
+        }
+        // As it goes, not to hold more than is needed.
+        book.trim(keep);
+    }
+    Ok(book.snapshot().map(|book| Snapshot { number: until, chain, book }))
+}
+
 /// The incarnation of a new start: a time later than that of any start that is in the log. An ingress that was restored
 /// from an old copy of its disk has a later start than any that wrote it; where its clock was set back, it takes the
 /// time after the latest.
--- a/crates/ledger/tests/store.rs
+++ b/crates/ledger/tests/store.rs
@@ -1,8 +1,8 @@
 //! The store on a disk that crashes at every write and sync, and fails in its other ways.
 
-use chalkgap_ledger::entry::Settled;
-use chalkgap_ledger::store::{incarnation, Store, StoreError};
-use chalkgap_ledger::{Entry, Id, What};
+use chalkgap_ledger::entry::{Open, Settled};
+use chalkgap_ledger::store::{self, incarnation, Store, StoreError};
+use chalkgap_ledger::{Book, Entry, Id, Periods, Taken, What};
 use chalkgap_runtime::system::System;
 use chalkgap_runtime::*;
 use futures_lite::future::block_on;
@@ -107,12 +107,25 @@
     fn read<'a>(&'a self, path: &'a Path, _: u64) -> BoxFuture<'a, io::Result<Vec<u8>>> {
         Box::pin(async move { Ok(self.0.lock().unwrap().files[path].safe.clone()) })
     }
-    fn replace<'a>(&'a self, _: &'a Path, _: Vec<u8>) -> BoxFuture<'a, io::Result<()>> {
-        Box::pin(async { Err(io::ErrorKind::Unsupported.into()) })
+    fn replace<'a>(&'a self, path: &'a Path, bytes: Vec<u8>) -> BoxFuture<'a, io::Result<()>> {
+        Box::pin(async move {
+            let mut d = self.0.lock().unwrap();
+            d.step()?;
+            d.files.insert(path.to_owned(), Content { safe: bytes, loose: Vec::new() });
+            Ok(())
+        })
     }
     fn create<'a>(&'a self, _: &'a Path, _: Vec<u8>) -> BoxFuture<'a, io::Result<bool>> {
         Box::pin(async { Err(io::ErrorKind::Unsupported.into()) })
     }
+    fn remove<'a>(&'a self, path: &'a Path) -> BoxFuture<'a, io::Result<()>> {
+        Box::pin(async move {
+            let mut d = self.0.lock().unwrap();
+            d.step()?;
+            d.files.remove(path);
+            Ok(())
+        })
+    }
     fn stamp<'a>(&'a self, _: &'a Path) -> BoxFuture<'a, io::Result<(Micros, u64)>> {
         Box::pin(async { Err(io::ErrorKind::Unsupported.into()) })
     }
@@ -289,3 +302,137 @@
     });
     std::fs::remove_dir_all(folder).unwrap();
 }
+
+fn used(number: u64) -> Entry {
+    let id = Id { ingress: 1, incarnation: 5, number };
+    let what = if number % 2 == 1 {
+        let (account, plan, class) = (format!("a{}", number % 3), "p".into(), "c".into());
+        What::Open(Open {
+            account,
+            plan,
+            class,
+            units: number,
+            request: number.to_string(),
+            node: "n".into(),
+        })
+    } else {
+        What::Settled(Settled { open: number - 1, units: number - 1, ..Settled::default() })
+    };
+    Entry { id, at: number * 10, what }
+}
+
+/// Snapshot and the segments after it are the same book as all segments.
+fn book(runtime: &Shared) -> (Book, Vec<(String, u64, chalkgap_ledger::Sum)>) {
+    block_on(async {
+        let folder = Path::new("/l");
+        let snapshot = store::snapshot(runtime, folder).await.expect("whole");
+        let mut book = match snapshot {
+            Some(s) => Book::restore(PERIODS, &s.book).expect("a book"),
+            None => Book::new(PERIODS),
+        };
+        let take = |e: Entry| assert_eq!(book.take(&e), Taken::New);
+        Store::open(runtime.clone(), folder, 400, take).await.expect("no damage");
+        let sums = book.sums().map(|(a, _, p, s)| (a.to_owned(), p, s)).collect();
+        (book, sums)
+    })
+}
+
+const PERIODS: Periods = Periods::Every(50);
+
+/// A crash at every step of a compaction, and of the one after it: the same sums, and it goes on.
+#[test]
+fn a_crash_at_every_step_of_a_compaction() {
+    let fill = |runtime: &Shared, from: u64| {
+        block_on(async {
+            let mut store = Store::open(runtime.clone(), Path::new("/l"), 400, |_| ()).await.unwrap();
+            for n in 0..10 {
+                let group: Vec<Entry> = (from + 4 * n..from + 4 * n + 4).map(used).collect();
+                store.commit(&group).await.unwrap();
+            }
+        });
+    };
+    let compact = |runtime: &Shared, keep: u64| {
+        block_on(async {
+            let folder = Path::new("/l");
+            let mut store = Store::open(runtime.clone(), folder, 400, |_| ()).await?;
+            let last = store.current() - 1;
+            let until = store::older(runtime, folder, last, PERIODS, keep).await?.expect("some are old");
+            let snapshot =
+                store::condense(runtime, folder, PERIODS, until, keep).await?.expect("all is ended");
+            store.compact(&snapshot).await?;
+            Ok::<u64, StoreError>(until)
+        })
+    };
+    let (runtime, memory) = world(Drive::default());
+    fill(&runtime, 1);
+    let expected = book(&runtime).1;
+    let before = memory.0.lock().unwrap().after_crash(4);
+    for crash_at in 0..16 {
+        let (runtime, memory) = world(Drive { crash_at: Some(crash_at), ..before.after_crash(4) });
+        let done = compact(&runtime, 5);
+        let (runtime, memory) = world(memory.0.lock().unwrap().after_crash(4));
+        let (found, sums) = book(&runtime);
+        assert_eq!(sums, expected, "crash at {crash_at}");
+        assert_eq!(found.spans(1, 5), [(1, 40)]);
+        if let Ok(until) = done {
+            let files = memory.0.lock().unwrap();
+            let left = files.files.keys().filter(|p| p.extension().is_some_and(|e| e == "seg")).count();
+            assert!(until > 1 && left as u64 + until <= 12, "{until} condensed, {left} left");
+            assert!(crash_at > 4);
+        }
+        // Once more on top of it, with what was left lying about.
+        fill(&runtime, 41);
+        let twice = book(&runtime).1;
+        compact(&runtime, 12).expect("no crash");
+        assert_eq!(book(&runtime).1, twice, "crash at {crash_at}, condensed again");
+        assert_eq!(
+            memory
+                .0
+                .lock()
+                .unwrap()
+                .files
+                .keys()
+                .filter(|p| p.extension().is_some_and(|e| e == "snap"))
+                .count(),
+            1
+        );
+    }
+}
+
+#[test]
+fn a_changed_snapshot_is_damage() {
+    let (runtime, memory) = world(Drive::default());
+    let snapshot = block_on(async {
+        let mut store = Store::open(runtime.clone(), Path::new("/l"), 400, |_| ()).await.unwrap();
+        store.commit(&(1..=8).map(used).collect::<Vec<_>>()).await.unwrap();
+        store.commit(&(9..=10).map(used).collect::<Vec<_>>()).await.unwrap();
+        let s = store::condense(&runtime, Path::new("/l"), PERIODS, 1, 99).await.unwrap().unwrap();
+        store.compact(&s).await.unwrap();
+        s
+    });
+    assert_eq!(book(&runtime).0.spans(1, 5), [(1, 10)]);
+    let path = Path::new("/l/0000000000000001.snap");
+    let length = memory.0.lock().unwrap().files[path].safe.len();
+    assert!(length > snapshot.book.len());
+    for at in 0..length {
+        let (runtime, memory) = world(memory.0.lock().unwrap().after_crash(4));
+        memory.0.lock().unwrap().files.get_mut(path).unwrap().safe[at] ^= 1;
+        let error = block_on(store::snapshot(&runtime, Path::new("/l"))).expect_err("changed");
+        assert!(matches!(error, StoreError::Damaged { .. }), "{at}: {error}");
+    }
+    // What is open goes on being open; what has ended in a period that is kept is kept as it is.
+    let (runtime, _) = world(Drive::default());
+    block_on(async {
+        let mut store = Store::open(runtime.clone(), Path::new("/l"), 10, |_| ()).await.unwrap();
+        for n in [1, 3, 2, 4] {
+            store.commit(&[used(n)]).await.unwrap();
+        }
+        let condense = |until, keep| store::condense(&runtime, Path::new("/l"), PERIODS, until, keep);
+        assert_eq!(condense(3, 0).await.unwrap(), None);
+        let s = condense(3, 99).await.unwrap().unwrap();
+        store.compact(&s).await.unwrap();
+    });
+    let (found, sums) = book(&runtime);
+    assert_eq!(sums.iter().map(|s| (s.2.units, s.2.open)).collect::<Vec<_>>(), [(3, 0), (1, 0)]);
+    assert_eq!((found.strays(), found.first_open()), (0, None));
+}
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -80,6 +80,8 @@
     /// Puts a new file in place, whole or not at all, and syncs its folder; false where there is one of that name already,
     /// which stays as it is. Of any number that try, one is told true.
     fn create<'a>(&'a self, path: &'a Path, bytes: Vec<u8>) -> BoxFuture<'a, io::Result<bool>>;
+    /// Takes a file away; it may be back after a crash. One that is not there is no error.
+    fn remove<'a>(&'a self, path: &'a Path) -> BoxFuture<'a, io::Result<()>>;
     /// Something that changes when the file does: its time of change and its length.
     fn stamp<'a>(&'a self, path: &'a Path) -> BoxFuture<'a, io::Result<(Micros, u64)>>;
 }
--- a/crates/runtime/src/system.rs
+++ b/crates/runtime/src/system.rs
@@ -259,6 +259,14 @@
         Box::pin(blocking::unblock(move || create(&path, &bytes)))
     }
 
+    fn remove<'a>(&'a self, path: &'a Path) -> BoxFuture<'a, io::Result<()>> {
+        let path = path.to_owned();
+        Box::pin(blocking::unblock(move || match fs::remove_file(path) {
+            Err(e) if e.kind() != io::ErrorKind::NotFound => Err(e),
+            _ => Ok(()),
+        }))
+    }
+
     fn stamp<'a>(&'a self, path: &'a Path) -> BoxFuture<'a, io::Result<(Micros, u64)>> {
         let path = path.to_owned();
         Box::pin(blocking::unblock(move || {
