--- /dev/null
+++ b/crates/lab/benches/ledger.rs
@@ -0,0 +1,100 @@
+//! Ledgers of two ingresses after a gap: how long until the one has what the other wrote meanwhile, over their own
+//! authenticated streams on loopback; and how long a start takes and what it holds in memory.
+//!
+//! `cargo bench -p chalkgap-lab --bench ledger [-- --entries N]`
+
+use chalkgap::runtime::system::System;
+use chalkgap::runtime::{Runtime, Shared};
+use chalkgap::settings::{self, Settings};
+use chalkgap::Instance;
+use chalkgap_ledger::entry::{Open, Settled};
+use chalkgap_ledger::{Entry, Id, Store, What};
+use std::net::{SocketAddr, TcpListener};
+use std::path::Path;
+use std::time::Instant;
+
+const SETTINGS: &str = r#"
+settings = {
+    "fleet": {"ingresses": 2, "me": 0, "zones": ["a"], "zone": "a"},
+    "front": {"listen": "127.0.0.1:0"},
+    "classes": [{"name": "c", "aim_ms": 5000, "deadline_ms": 10000, "repeat": "safe"}],
+    "plans": [{"name": "p", "rate": 1.0, "burst": 1.0}],
+    "rules": {"drain_grace_ms": 2000, "cold_from": 0.2, "cold_ms": 0, "fall_factor": 3.0, "fall_ms": 2000},
+    "nodes": {"source": "handle"},
+}
+"#;
+
+fn entry(n: u64) -> Entry {
+    let id = Id { ingress: 0, incarnation: 1_700_000_000_000_000, number: n };
+    let what = if n % 2 == 1 {
+        What::Open(Open {
+            account: format!("account-{}", n % 5000),
+            plan: "enterprise".into(),
+            class: "report-upload".into(),
+            units: 2,
+            request: format!("0-65bfea1d2f7c0-{n}"),
+            node: "127.0.0.1:47001".into(),
+        })
+    } else {
+        What::Settled(Settled { open: n - 1, units: 2, ..Settled::default() })
+    };
+    Entry { id, at: 1_700_000_000_000_000 + n * 250, what }
+}
+
+fn memory() -> f64 {
+    let status = std::fs::read_to_string("/proc/self/status").unwrap();
+    let line = status.lines().find(|l| l.starts_with("VmRSS:")).unwrap();
+    line.split_whitespace().nth(1).unwrap().parse::<f64>().unwrap() / 1024.0
+}
+
+fn port() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+}
+
+fn ingress(me: u16, folder: &Path, addresses: &[SocketAddr; 2], per_second: f64) -> Settings {
+    let mut s = settings::read("bench", SETTINGS.into(), &[]).unwrap();
+    s.fleet.me = me;
+    let value = serde_json::json!({
+        "folder": folder.join(me.to_string()),
+        "period": {"seconds": 3600},
+        "group": {"listen": addresses[usize::from(me)], "key": "5a".repeat(32),
+            "addresses": {"0": addresses[0], "1": addresses[1]}, "every_ms": 100, "per_second": per_second},
+    });
+    s.ledger = Some(settings::typed("bench", "ledger", value).unwrap());
+    s
+}
+
+fn main() {
+    let args: Vec<String> = std::env::args().skip(1).filter(|a| a != "--bench").collect();
+    let total = args.iter().position(|a| a == "--entries").and_then(|n| args.get(n + 1)?.parse().ok());
+    let total: u64 = total.unwrap_or(1_000_000);
+    let folder = std::env::temp_dir().join(format!("chalkgap-bench-ledger-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    let system = System::new();
+    system.threads(1);
+    let runtime: Shared = system.clone();
+    system.clone().run(async {
+        let begun = Instant::now();
+        let mut store = Store::open(runtime.clone(), &folder.join("0"), 8 << 20, |_| ()).await.unwrap();
+        for group in (1..=total).collect::<Vec<_>>().chunks(5000) {
+            store.commit(&group.iter().map(|n| entry(*n)).collect::<Vec<_>>()).await.unwrap();
+        }
+        drop(store);
+        println!("{total} entries written in {:.1} s", begun.elapsed().as_secs_f64());
+        let addresses = [port(), port()];
+        let (before, begun) = (memory(), Instant::now());
+        let first = Instance::start(ingress(0, &folder, &addresses, 1e7), runtime.clone()).await.unwrap();
+        let spent = begun.elapsed().as_secs_f64();
+        println!("started with them in {spent:.1} s; {:.0} MiB more resident memory", memory() - before);
+        let begun = Instant::now();
+        let second = Instance::start(ingress(1, &folder, &addresses, 1e7), runtime.clone()).await.unwrap();
+        while second.counts().ledger_entries < total {
+            runtime.sleep_until(runtime.now() + 20_000).await;
+        }
+        let spent = begun.elapsed().as_secs_f64();
+        println!("another has them in {spent:.1} s: {:.0} entries a second", total as f64 / spent);
+        assert_eq!(second.counts().ledger_peer_failed, 0);
+        drop((first, second));
+    });
+    std::fs::remove_dir_all(folder).unwrap();
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -7,6 +7,7 @@
 //! - [`intake`]: the messages between ingress and intake node
 //! - [`orca`]: load reports of nodes (the text form of `endpoint-load-metrics`)
 //! - [`roster`]: the messages of a roster that pushes node lists
+//! - [`mqtt`]: MQTT 5.0 and 3.1.1
 //! - [`truth`]: what a node says about requests that it was sent
 //! - [`billing`]: what a billing consumer is told
 //! - [`fleet`]: calls between ingresses
@@ -16,6 +17,7 @@
 pub mod grpc;
 pub mod http2;
 pub mod intake;
+pub mod mqtt;
 pub mod orca;
 pub mod ratelimit;
 pub mod roster;
--- /dev/null
+++ b/crates/wire/src/mqtt/mod.rs
@@ -0,0 +1,17 @@
+//! MQTT 5.0 and 3.1.1 (OASIS Standards of 2019-03-07 and 2014-10-29), the parts that a server needs and a client uses.
+//!
+//! - [`packet`]: the control packets as types
+//! - [`property`]: the properties of MQTT 5
+//! - [`codec`]: packets from bytes and to bytes, with limits on everything before memory is taken
+//! - [`topic`]: names and filters
+//! - [`reason`]: reason codes
+
+pub mod codec;
+pub mod packet;
+pub mod property;
+pub mod reason;
+pub mod topic;
+
+pub use codec::{decode, encode, Error};
+pub use packet::{Packet, QoS, Version};
+pub use property::{Properties, Property};
--- /dev/null
+++ b/crates/wire/src/mqtt/property.rs
@@ -0,0 +1,251 @@
+//! Properties (MQTT 5, section 2.2.2.2): which there are, what they hold, and where each may be.
+
+use super::codec::{Error, Reader};
+use super::reason::{MALFORMED_PACKET, PROTOCOL_ERROR};
+use bytes::{BufMut, Bytes, BytesMut};
+
+/// A property.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[allow(missing_docs)] // the names are the specification's
+pub enum Property {
+    PayloadFormat(u8),
+    MessageExpiry(u32),
+    ContentType(String),
+    ResponseTopic(String),
+    CorrelationData(Bytes),
+    SubscriptionIdentifier(u32),
+    SessionExpiry(u32),
+    AssignedClientIdentifier(String),
+    ServerKeepAlive(u16),
+    AuthenticationMethod(String),
+    AuthenticationData(Bytes),
+    RequestProblemInformation(u8),
+    WillDelay(u32),
+    RequestResponseInformation(u8),
+    ResponseInformation(String),
+    ServerReference(String),
+    ReasonString(String),
+    ReceiveMaximum(u16),
+    TopicAliasMaximum(u16),
+    TopicAlias(u16),
+    MaximumQoS(u8),
+    RetainAvailable(u8),
+    User(String, String),
+    MaximumPacketSize(u32),
+    WildcardSubscriptionAvailable(u8),
+    SubscriptionIdentifierAvailable(u8),
+    SharedSubscriptionAvailable(u8),
+}
+
+/// Where properties may be: a bit each.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Place(pub u16);
+
+#[allow(missing_docs)]
+impl Place {
+    pub const CONNECT: Place = Place(1);
+    pub const CONNACK: Place = Place(2);
+    pub const PUBLISH: Place = Place(4);
+    pub const WILL: Place = Place(8);
+    /// PUBACK, PUBREC, PUBREL, PUBCOMP, SUBACK, UNSUBACK.
+    pub const ACK: Place = Place(16);
+    pub const SUBSCRIBE: Place = Place(32);
+    pub const UNSUBSCRIBE: Place = Place(64);
+    pub const DISCONNECT: Place = Place(128);
+    pub const AUTH: Place = Place(256);
+}
+
+use Property as P;
+
+impl Property {
+    /// Its identifier.
+    pub fn id(&self) -> u8 {
+        match self {
+            P::PayloadFormat(_) => 0x01,
+            P::MessageExpiry(_) => 0x02,
+            P::ContentType(_) => 0x03,
+            P::ResponseTopic(_) => 0x08,
+            P::CorrelationData(_) => 0x09,
+            P::SubscriptionIdentifier(_) => 0x0b,
+            P::SessionExpiry(_) => 0x11,
+            P::AssignedClientIdentifier(_) => 0x12,
+            P::ServerKeepAlive(_) => 0x13,
+            P::AuthenticationMethod(_) => 0x15,
+            P::AuthenticationData(_) => 0x16,
+            P::RequestProblemInformation(_) => 0x17,
+            P::WillDelay(_) => 0x18,
+            P::RequestResponseInformation(_) => 0x19,
+            P::ResponseInformation(_) => 0x1a,
+            P::ServerReference(_) => 0x1c,
+            P::ReasonString(_) => 0x1f,
+            P::ReceiveMaximum(_) => 0x21,
+            P::TopicAliasMaximum(_) => 0x22,
+            P::TopicAlias(_) => 0x23,
+            P::MaximumQoS(_) => 0x24,
+            P::RetainAvailable(_) => 0x25,
+            P::User(..) => 0x26,
+            P::MaximumPacketSize(_) => 0x27,
+            P::WildcardSubscriptionAvailable(_) => 0x28,
+            P::SubscriptionIdentifierAvailable(_) => 0x29,
+            P::SharedSubscriptionAvailable(_) => 0x2a,
+        }
+    }
+
+    /// The places of an identifier (table 2-4).
+    fn places(id: u8) -> Option<u16> {
+        let (connect, connack, publish, will) =
+            (Place::CONNECT.0, Place::CONNACK.0, Place::PUBLISH.0, Place::WILL.0);
+        Some(match id {
+            0x01 | 0x02 | 0x03 | 0x08 | 0x09 => publish | will,
+            0x0b => publish | Place::SUBSCRIBE.0,
+            0x11 => connect | connack | Place::DISCONNECT.0,
+            0x12 | 0x13 | 0x1a | 0x24 | 0x25 | 0x28 | 0x29 | 0x2a => connack,
+            0x15 | 0x16 => connect | connack | Place::AUTH.0,
+            0x17 | 0x19 => connect,
+            0x18 => will,
+            0x1c => connack | Place::DISCONNECT.0,
+            0x1f => connack | Place::ACK.0 | Place::DISCONNECT.0 | Place::AUTH.0,
+            0x21 | 0x22 | 0x27 => connect | connack,
+            0x23 => publish,
+            0x26 => u16::MAX,
+            _ => return None,
+        })
+    }
+
+    fn read(r: &mut Reader) -> Result<Property, Error> {
+        // An identifier is a variable byte integer; all that there are fit one byte.
+        let id = r.variable()?;
+        let id = u8::try_from(id).ok().filter(|id| Property::places(*id).is_some());
+        let id = id.ok_or(Error::new(MALFORMED_PACKET, "a property that there is not"))?;
+        let flag = |n: u8, what| match n {
+            0 | 1 => Ok(n),
+            _ => Err(Error::new(PROTOCOL_ERROR, what)),
+        };
+        Ok(match id {
+            0x01 => P::PayloadFormat(flag(r.byte()?, "payload format indicator: expected 0 or 1")?),
+            0x02 => P::MessageExpiry(r.long()?),
+            0x03 => P::ContentType(r.text()?),
+            0x08 => P::ResponseTopic(r.text()?),
+            0x09 => P::CorrelationData(r.binary()?),
+            0x0b => match r.variable()? {
+                0 => return Err(Error::new(PROTOCOL_ERROR, "subscription identifier 0")),
+                n => P::SubscriptionIdentifier(n),
+            },
+            0x11 => P::SessionExpiry(r.long()?),
+            0x12 => P::AssignedClientIdentifier(r.text()?),
+            0x13 => P::ServerKeepAlive(r.short()?),
+            0x15 => P::AuthenticationMethod(r.text()?),
+            0x16 => P::AuthenticationData(r.binary()?),
+            0x17 => {
+                P::RequestProblemInformation(flag(r.byte()?, "request problem information: expected 0 or 1")?)
+            }
+            0x18 => P::WillDelay(r.long()?),
+            0x19 => P::RequestResponseInformation(flag(
+                r.byte()?,
+                "request response information: expected 0 or 1",
+            )?),
+            0x1a => P::ResponseInformation(r.text()?),
+            0x1c => P::ServerReference(r.text()?),
+            0x1f => P::ReasonString(r.text()?),
+            0x21 => match r.short()? {
+                0 => return Err(Error::new(PROTOCOL_ERROR, "receive maximum 0")),
+                n => P::ReceiveMaximum(n),
+            },
+            0x22 => P::TopicAliasMaximum(r.short()?),
+            0x23 => P::TopicAlias(r.short()?),
+            0x24 => P::MaximumQoS(flag(r.byte()?, "maximum QoS: expected 0 or 1")?),
+            0x25 => P::RetainAvailable(flag(r.byte()?, "retain available: expected 0 or 1")?),
+            0x26 => P::User(r.text()?, r.text()?),
+            0x27 => match r.long()? {
+                0 => return Err(Error::new(PROTOCOL_ERROR, "maximum packet size 0")),
+                n => P::MaximumPacketSize(n),
+            },
+            0x28 => {
+                P::WildcardSubscriptionAvailable(flag(r.byte()?, "wildcards available: expected 0 or 1")?)
+            }
+            0x29 => {
+                P::SubscriptionIdentifierAvailable(flag(r.byte()?, "identifiers available: expected 0 or 1")?)
+            }
+            _ => P::SharedSubscriptionAvailable(flag(r.byte()?, "shared available: expected 0 or 1")?),
+        })
+    }
+
+    fn write(&self, out: &mut BytesMut) {
+        use super::codec::{put_binary, put_text, put_variable};
+        out.put_u8(self.id());
+        match self {
+            P::PayloadFormat(n)
+            | P::RequestProblemInformation(n)
+            | P::RequestResponseInformation(n)
+            | P::MaximumQoS(n)
+            | P::RetainAvailable(n)
+            | P::WildcardSubscriptionAvailable(n)
+            | P::SubscriptionIdentifierAvailable(n)
+            | P::SharedSubscriptionAvailable(n) => out.put_u8(*n),
+            P::ServerKeepAlive(n) | P::ReceiveMaximum(n) | P::TopicAliasMaximum(n) | P::TopicAlias(n) => {
+                out.put_u16(*n);
+            }
+            P::MessageExpiry(n) | P::SessionExpiry(n) | P::WillDelay(n) | P::MaximumPacketSize(n) => {
+                out.put_u32(*n);
+            }
+            P::SubscriptionIdentifier(n) => put_variable(out, *n),
+            P::ContentType(t)
+            | P::ResponseTopic(t)
+            | P::AssignedClientIdentifier(t)
+            | P::AuthenticationMethod(t)
+            | P::ResponseInformation(t)
+            | P::ServerReference(t)
+            | P::ReasonString(t) => put_text(out, t),
+            P::CorrelationData(b) | P::AuthenticationData(b) => put_binary(out, b),
+            P::User(k, v) => {
+                put_text(out, k);
+                put_text(out, v);
+            }
+        }
+    }
+}
+
+/// The properties of a packet, in their order.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Properties(pub Vec<Property>);
+
+/// Properties in one packet: a good client sends a handful.
+const MOST: usize = 256;
+
+impl Properties {
+    pub(super) fn read(r: &mut Reader, place: Place) -> Result<Properties, Error> {
+        let length = r.variable()? as usize;
+        let mut part = r.part(length)?;
+        let (mut list, mut seen) = (Vec::new(), 0u64);
+        while !part.is_empty() {
+            let p = Property::read(&mut part)?;
+            let id = p.id();
+            if Property::places(id).is_none_or(|places| places & place.0 == 0) {
+                return Err(Error::new(PROTOCOL_ERROR, "a property that has no place in this packet"));
+            }
+            // Only user properties may be there more than once, and in a PUBLISH of a server subscription identifiers.
+            let many = matches!(p, P::User(..)) || (id == 0x0b && place == Place::PUBLISH);
+            if seen >> id & 1 == 1 && !many {
+                return Err(Error::new(PROTOCOL_ERROR, "a property that is there twice"));
+            }
+            seen |= 1 << id;
+            if list.len() == MOST {
+                return Err(Error::new(super::reason::PACKET_TOO_LARGE, "more than 256 properties"));
+            }
+            list.push(p);
+        }
+        Ok(Properties(list))
+    }
+
+    pub(super) fn write(&self, out: &mut BytesMut) {
+        let mut part = BytesMut::new();
+        self.0.iter().for_each(|p| p.write(&mut part));
+        super::codec::put_variable(out, part.len() as u32);
+        out.extend_from_slice(&part);
+    }
+
+    /// The first that fits.
+    pub fn find<T>(&self, pick: impl Fn(&Property) -> Option<T>) -> Option<T> {
+        self.0.iter().find_map(pick)
+    }
+}
--- /dev/null
+++ b/crates/wire/src/mqtt/reason.rs
@@ -0,0 +1,39 @@
+//! Reason codes (MQTT 5, section 2.4): below 0x80 all is well.
+#![allow(missing_docs)] // the names are the specification's
+
+pub const SUCCESS: u8 = 0x00;
+pub const GRANTED_QOS_1: u8 = 0x01;
+pub const GRANTED_QOS_2: u8 = 0x02;
+pub const DISCONNECT_WITH_WILL: u8 = 0x04;
+pub const NO_MATCHING_SUBSCRIBERS: u8 = 0x10;
+pub const NO_SUBSCRIPTION_EXISTED: u8 = 0x11;
+pub const UNSPECIFIED: u8 = 0x80;
+pub const MALFORMED_PACKET: u8 = 0x81;
+pub const PROTOCOL_ERROR: u8 = 0x82;
+pub const IMPLEMENTATION_SPECIFIC: u8 = 0x83;
+pub const UNSUPPORTED_PROTOCOL_VERSION: u8 = 0x84;
+pub const CLIENT_IDENTIFIER_NOT_VALID: u8 = 0x85;
+pub const BAD_USER_NAME_OR_PASSWORD: u8 = 0x86;
+pub const NOT_AUTHORIZED: u8 = 0x87;
+pub const SERVER_UNAVAILABLE: u8 = 0x88;
+pub const SERVER_BUSY: u8 = 0x89;
+pub const BAD_AUTHENTICATION_METHOD: u8 = 0x8c;
+pub const KEEP_ALIVE_TIMEOUT: u8 = 0x8d;
+pub const SESSION_TAKEN_OVER: u8 = 0x8e;
+pub const TOPIC_FILTER_INVALID: u8 = 0x8f;
+pub const TOPIC_NAME_INVALID: u8 = 0x90;
+pub const PACKET_IDENTIFIER_IN_USE: u8 = 0x91;
+pub const PACKET_IDENTIFIER_NOT_FOUND: u8 = 0x92;
+pub const RECEIVE_MAXIMUM_EXCEEDED: u8 = 0x93;
+pub const TOPIC_ALIAS_INVALID: u8 = 0x94;
+pub const PACKET_TOO_LARGE: u8 = 0x95;
+pub const MESSAGE_RATE_TOO_HIGH: u8 = 0x96;
+pub const QUOTA_EXCEEDED: u8 = 0x97;
+pub const PAYLOAD_FORMAT_INVALID: u8 = 0x99;
+pub const RETAIN_NOT_SUPPORTED: u8 = 0x9a;
+pub const QOS_NOT_SUPPORTED: u8 = 0x9b;
+pub const SERVER_MOVED: u8 = 0x9d;
+pub const SHARED_SUBSCRIPTIONS_NOT_SUPPORTED: u8 = 0x9e;
+pub const CONNECTION_RATE_EXCEEDED: u8 = 0x9f;
+pub const SUBSCRIPTION_IDENTIFIERS_NOT_SUPPORTED: u8 = 0xa1;
+pub const WILDCARD_SUBSCRIPTIONS_NOT_SUPPORTED: u8 = 0xa2;
--- a/deploy/ingress.star
+++ b/deploy/ingress.star
@@ -34,5 +34,7 @@
     "accounts": {"acme": {"plan": "enterprise"}},
     "default_plan": "starter",
     "rules": {"drain_grace_ms": 2000, "cold_from": 0.19, "cold_ms": 18000, "fall_factor": 3, "fall_ms": 2000},
+    # Use by account and period, on this machine's disk; give a folder by --set ledger=PATH.
+    "ledger": {"folder": given["ledger"], "period": {"seconds": 86400}} if "ledger" in given else None,
     "nodes": {"source": {"file": {"path": given.get("nodes", "nodes.json")}}},
 }
