MQTT: server's state machine, a front trait, and the front itself

What fronts share moved to front/mod.rs (Door, Demand, Front); the driver knows no protocol. QoS 1 is answered by PUBACK with its reason code, QoS 2 by PUBREC once the fate is known; a repeat with DUP hears what was said and is not run; one that nobody here has seen fails, as it may have run elsewhere. Sessions over a reconnect, takeover, wills as requests, response topics, passwords as PHC strings with a bound on slow checks.

--- a/crates/cli/src/serve.rs
+++ b/crates/cli/src/serve.rs
@@ -53,7 +53,9 @@
             Err(e) => return fail(Exit::System, e),
         };
         let peer = instance.peer_address().map(|a| a.to_string());
-        let line = serde_json::json!({"grpc": instance.grpc_address().to_string(), "peers": peer});
+        let mqtt = instance.mqtt_address().map(|a| a.to_string());
+        let line =
+            serde_json::json!({"grpc": instance.grpc_address().to_string(), "mqtt": mqtt, "peers": peer});
         println!("{line}");
         let _ = std::io::stdout().flush(); // nobody may read it
         signals.next().await;
--- a/crates/gateway/src/front/grpc.rs
+++ b/crates/gateway/src/front/grpc.rs
@@ -1,102 +1,40 @@
 //! The public gRPC rate limit service (`envoy.service.ratelimit.v3.RateLimitService`) and its health check.
 
+use super::{Bad, Demand, Door, Front, WORD};
 use crate::driver::{Answer, Ask, Input, Reply};
-use crate::gate::{Gate, Pass, Refusal};
-use crate::settings::{Compiled, KeyRule};
-use crate::telemetry::{add, Telemetry};
-use async_channel::{Receiver, Sender};
+use crate::gate::Pass;
+use crate::telemetry::add;
+use async_channel::Sender;
 use bytes::Bytes;
 use chalkgap_core::RequestId;
-use chalkgap_pipe::{while_alive, Pipe, Turn};
-use chalkgap_runtime::{Listener, Micros, Shared, Stream};
+use chalkgap_pipe::{Pipe, Turn};
+use chalkgap_runtime::{BoxFuture, Micros, Shared, Stream};
 use chalkgap_wire::grpc::{self, Code, Deframer, Status};
 use chalkgap_wire::http2::{Config, ConnError, Connection, Event, Field};
-use chalkgap_wire::intake::Work;
 use chalkgap_wire::ratelimit::{
     DescriptorStatus, Entry, HeaderValue, HealthCheckRequest, HealthCheckResponse, RateLimitRequest,
     RateLimitResponse, Verdict, HEALTH_CHECK, SHOULD_RATE_LIMIT,
 };
-use futures_lite::future;
 use prost::Message;
 use std::collections::HashMap;
-use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
-use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 /// Descriptors in a call, and entries in one: far more than a good client sends.
 const MOST_DESCRIPTORS: usize = 64;
 const MOST_ENTRIES: usize = 64;
 
-/// What all connections of a front share.
+/// The gRPC front.
 #[derive(Clone)]
-pub(crate) struct Door {
-    pub runtime: Shared,
-    pub settings: Arc<Compiled>,
-    pub telemetry: Arc<Telemetry>,
-    pub driver: Sender<Input>,
-    /// The next request's number.
-    pub ids: Arc<AtomicU64>,
-    /// Sets this start's own keys apart from all others.
-    pub name: String,
-    /// Its other end is dropped to begin the drain, and to stop at once.
-    pub drain: Receiver<()>,
-    pub kill: Receiver<()>,
-    /// Connections that are open.
-    pub open: Arc<AtomicUsize>,
-    /// Lets connections in.
-    pub gate: Arc<Gate>,
-}
-
-/// How long a refused client may take to read why.
-const WORD: Micros = 200_000;
+pub(crate) struct Grpc;
 
-/// Takes connections until the drain begins.
-pub(crate) async fn listen(door: Door, listener: Box<dyn Listener>) {
-    loop {
-        let drained = async {
-            let _ = door.drain.recv().await;
-            None
-        };
-        let Some(arrived) = future::or(drained, async { Some(listener.accept().await) }).await else {
-            return;
-        };
-        let stream = match arrived {
-            Ok(stream) => stream,
-            Err(e) => {
-                // Out of descriptors or memory: at once it would fail again and again.
-                door.runtime.sleep_until(door.gate.accept_failed(&e)).await;
-                continue;
-            }
-        };
-        match door.gate.offer(stream.peer().ip()) {
-            Ok(pass) => {
-                add(&door.telemetry.connections);
-                door.open.fetch_add(1, Ordering::Relaxed);
-                let open = door.open.clone();
-                door.spawn(serve(door.clone(), stream, pass), move || {
-                    open.fetch_sub(1, Ordering::Relaxed);
-                });
-            }
-            Err(Refusal { word: Some(word), pause }) => {
-                door.spawn(refuse(door.runtime.clone(), stream, pause), move || drop(word));
-            }
-            Err(_) => drop(stream), // closed at once rather than left hanging
-        }
+impl Front for Grpc {
+    fn serve(&self, door: Door, stream: Box<dyn Stream>, pass: Pass) -> BoxFuture<'static, ()> {
+        Box::pin(serve(door, stream, pass))
     }
-}
 
-impl Door {
-    fn spawn(
-        &self,
-        task: impl std::future::Future<Output = ()> + Send + 'static,
-        end: impl FnOnce() + Send + 'static,
-    ) {
-        let kill = self.kill.clone();
-        let task = async move {
-            while_alive(kill, task).await;
-            end();
-        };
-        self.runtime.spawn(Box::pin(task)).detach();
+    fn refuse(&self, runtime: Shared, stream: Box<dyn Stream>, pause: Micros) -> BoxFuture<'static, ()> {
+        Box::pin(refuse(runtime, stream, pause))
     }
 }
 
@@ -528,7 +466,7 @@
     reply: Sender<Reply>,
 ) -> Result<Ask, Status> {
     let bad = |text: String| Status::new(Code::InvalidArgument, text);
-    let (settings, front) = (&door.settings, &door.settings.settings.front);
+    let front = &door.settings.settings.front;
     if let Some(domain) = front.domain.as_ref().filter(|d| **d != request.domain) {
         return Err(bad(format!("domain {:?}: expected {domain:?}", request.domain)));
     }
@@ -566,34 +504,17 @@
         let own = d.hits_addend.map_or(u64::from(request.hits_addend), |v| v.value);
         units = units.max(own.max(1));
     }
-    if units > u64::from(front.most_units) {
-        return Err(bad(format!("hits_addend: at most {}, found {units}", front.most_units)));
-    }
+    // More than a number can say is over any limit.
+    let units = u32::try_from(units).unwrap_or(u32::MAX);
     let [account, class, key] = named;
     let account = account.unwrap_or_default();
-    let Some(customer) = settings.account(&account) else {
-        return Err(Status::new(Code::PermissionDenied, format!("account {account:?} is not known")));
-    };
-    let Some(class_no) = settings.class(class.as_deref()) else {
-        let mut known: Vec<&str> = settings.classes.keys().map(String::as_str).collect();
-        known.sort_unstable();
-        let found = class.map_or("none".into(), |c| format!("{c:?}"));
-        return Err(bad(format!("entry {:?}: expected one of {known:?}, found {found}", front.class_entry)));
-    };
-    let rule = &settings.settings.classes[usize::from(class_no)];
-    // Nodes drop repeats by the account's key, not by a word that another account may use as well.
-    let key = (settings.keys[usize::from(class_no)] == KeyRule::Sent).then(|| {
-        let mut hasher = blake3::Hasher::new();
-        let own = format!("{}-{}", door.name, id.0);
-        let (kind, key) = if let Some(k) = &key { ("theirs", k) } else { ("ours", &own) };
-        for part in [kind, &account, &rule.name, key] {
-            hasher.update(&(part.len() as u64).to_le_bytes());
-            hasher.update(part.as_bytes());
-        }
-        Bytes::from(hasher.finalize().to_hex()[..32].to_owned())
-    });
-    let wait = timeout.unwrap_or(u64::MAX).min(rule.deadline_ms * 1000);
-    let deadline = (arrived + wait).saturating_sub(front.answer_margin_ms * 1000);
-    let work = grpc::frame(&Work { account: account.clone(), units: units as u32, entries: others });
-    Ok(Ask { id, class: class_no, account, customer, units: units as f64, deadline, work, key, reply, token })
+    let demand =
+        Demand { account, class, key, units, arrived, timeout, entries: others, payload: Bytes::new() };
+    door.ask(id, demand, token, reply).map_err(|e| {
+        let code = match e {
+            Bad::Account(_) => Code::PermissionDenied,
+            Bad::Class { .. } | Bad::Units { .. } => Code::InvalidArgument,
+        };
+        Status::new(code, e.to_string())
+    })
 }
--- a/crates/gateway/src/front/mod.rs
+++ b/crates/gateway/src/front/mod.rs
@@ -1,3 +1,164 @@
-//! Doors for clients. A front turns calls of its protocol into asks for the driver and the one answer of each back.
+//! Where clients ask. A [`Front`] is a protocol; what all have in common is the [`Door`]: how connections are let in, how
+//! a request is made out of what a client said, and how it gets to the driver. The driver knows no protocol: an
+//! [`Ask`] goes in, one [`Reply`] comes out, and a client that is gone is told by `Input::Gone`.
 
 pub(crate) mod grpc;
+pub(crate) mod mqtt;
+
+use crate::driver::{Ask, Input, Reply};
+use crate::gate::{Gate, Pass, Refusal};
+use crate::settings::{Compiled, KeyRule};
+use crate::telemetry::{add, Telemetry};
+use async_channel::{Receiver, Sender};
+use bytes::Bytes;
+use chalkgap_core::RequestId;
+use chalkgap_pipe::while_alive;
+use chalkgap_runtime::{BoxFuture, Listener, Micros, Shared, Stream};
+use chalkgap_wire::grpc as framing;
+use chalkgap_wire::intake::Work;
+use chalkgap_wire::ratelimit::Entry;
+use futures_lite::future;
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::Arc;
+
+/// A protocol that clients speak. Each of its connections is a task that has a [`Pass`].
+pub(crate) trait Front: Clone + Send + Sync + 'static {
+    /// Serves one connection to its end, or to that of the drain.
+    fn serve(&self, door: Door, stream: Box<dyn Stream>, pass: Pass) -> BoxFuture<'static, ()>;
+    /// Tells a client that there is no room, and when to come back.
+    fn refuse(&self, runtime: Shared, stream: Box<dyn Stream>, pause: Micros) -> BoxFuture<'static, ()>;
+}
+
+/// What all connections of all fronts share.
+#[derive(Clone)]
+pub(crate) struct Door {
+    pub runtime: Shared,
+    pub settings: Arc<Compiled>,
+    pub telemetry: Arc<Telemetry>,
+    pub driver: Sender<Input>,
+    /// The next request's number.
+    pub ids: Arc<AtomicU64>,
+    /// Sets this start's own keys apart from all others.
+    pub name: String,
+    /// Its other end is dropped to begin the drain, and to stop at once.
+    pub drain: Receiver<()>,
+    pub kill: Receiver<()>,
+    /// Connections that are open.
+    pub open: Arc<AtomicUsize>,
+    /// Lets connections in.
+    pub gate: Arc<Gate>,
+}
+
+/// What a client wants, whatever it speaks.
+pub(crate) struct Demand {
+    pub account: String,
+    /// None: the default one.
+    pub class: Option<String>,
+    /// What repeats are known by; none: it gave none.
+    pub key: Option<String>,
+    pub units: u32,
+    /// When it came, and how long it may take from then.
+    pub arrived: Micros,
+    pub timeout: Option<Micros>,
+    /// For the node, as it is.
+    pub entries: Vec<Entry>,
+    /// The body, for the node.
+    pub payload: Bytes,
+}
+
+/// Why a demand is no request.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub(crate) enum Bad {
+    #[error("account {0:?} is not known")]
+    Account(String),
+    #[error("entry {entry:?}: expected one of {known:?}, found {found}")]
+    Class { entry: String, known: Vec<String>, found: String },
+    #[error("hits_addend: at most {most}, found {found}")]
+    Units { most: u32, found: u32 },
+}
+
+/// How long a refused client may take to read why, in microseconds.
+pub(crate) const WORD: Micros = 200_000;
+
+/// Takes connections until the drain begins.
+pub(crate) async fn listen(front: impl Front, door: Door, listener: Box<dyn Listener>) {
+    loop {
+        let drained = async {
+            let _ = door.drain.recv().await;
+            None
+        };
+        let Some(arrived) = future::or(drained, async { Some(listener.accept().await) }).await else {
+            return;
+        };
+        let stream = match arrived {
+            Ok(stream) => stream,
+            Err(e) => {
+                // Out of descriptors or memory: at once it would fail again and again.
+                door.runtime.sleep_until(door.gate.accept_failed(&e)).await;
+                continue;
+            }
+        };
+        match door.gate.offer(stream.peer().ip()) {
+            Ok(pass) => {
+                add(&door.telemetry.connections);
+                door.open.fetch_add(1, Ordering::Relaxed);
+                let open = door.open.clone();
+                door.spawn(front.serve(door.clone(), stream, pass), move || {
+                    open.fetch_sub(1, Ordering::Relaxed);
+                });
+            }
+            Err(Refusal { word: Some(word), pause }) => {
+                door.spawn(front.refuse(door.runtime.clone(), stream, pause), move || drop(word));
+            }
+            Err(_) => drop(stream), // closed at once rather than left hanging
+        }
+    }
+}
+
+impl Door {
+    fn spawn(
+        &self,
+        task: impl std::future::Future<Output = ()> + Send + 'static,
+        end: impl FnOnce() + Send + 'static,
+    ) {
+        let kill = self.kill.clone();
+        let task = async move {
+            while_alive(kill, task).await;
+            end();
+        };
+        self.runtime.spawn(Box::pin(task)).detach();
+    }
+
+    /// Makes a request out of what a client said.
+    pub fn ask(&self, id: RequestId, demand: Demand, token: u32, reply: Sender<Reply>) -> Result<Ask, Bad> {
+        let Demand { account, class, key, units, arrived, timeout, entries, payload } = demand;
+        let (settings, front) = (&self.settings, &self.settings.settings.front);
+        if units > front.most_units {
+            return Err(Bad::Units { most: front.most_units, found: units });
+        }
+        let Some(customer) = settings.account(&account) else { return Err(Bad::Account(account)) };
+        let Some(class_no) = settings.class(class.as_deref()) else {
+            let mut known: Vec<String> = settings.classes.keys().cloned().collect();
+            known.sort_unstable();
+            let found = class.map_or("none".into(), |c| format!("{c:?}"));
+            return Err(Bad::Class { entry: front.class_entry.clone(), known, found });
+        };
+        let rule = &settings.settings.classes[usize::from(class_no)];
+        // Nodes drop repeats by the account's key, not by a word that another account may use as well.
+        let key = (settings.keys[usize::from(class_no)] == KeyRule::Sent).then(|| {
+            let mut hasher = blake3::Hasher::new();
+            let own = format!("{}-{}", self.name, id.0);
+            let (kind, key) = if let Some(k) = &key { ("theirs", k) } else { ("ours", &own) };
+            for part in [kind, &account, &rule.name, key] {
+                hasher.update(&(part.len() as u64).to_le_bytes());
+                hasher.update(part.as_bytes());
+            }
+            Bytes::from(hasher.finalize().to_hex()[..32].to_owned())
+        });
+        let wait = timeout.unwrap_or(u64::MAX).min(rule.deadline_ms * 1000);
+        let deadline = (arrived.saturating_add(wait)).saturating_sub(front.answer_margin_ms * 1000);
+        let work = framing::frame(&Work { account: account.clone(), units, entries, payload });
+        let units = f64::from(units);
+        Ok(Ask { id, class: class_no, account, customer, units, deadline, work, key, reply, token })
+    }
+}
--- a/crates/gateway/src/instance.rs
+++ b/crates/gateway/src/instance.rs
@@ -1,7 +1,7 @@
 //! An instance: its parts put together, and the handle to it.
 
 use crate::driver::{Driver, Input};
-use crate::front::grpc::{self, Door};
+use crate::front::{self, grpc::Grpc, mqtt::Mqtt, Door};
 use crate::gate::Gate;
 use crate::ledger::Desk;
 use crate::nodes::NodeList;
@@ -57,6 +57,7 @@
 pub struct Instance {
     runtime: Shared,
     grpc: SocketAddr,
+    mqtt: Option<SocketAddr>,
     peer: Option<SocketAddr>,
     driver: Sender<Input>,
     telemetry: Arc<Telemetry>,
@@ -85,6 +86,13 @@
                 Some(socket.map_err(|e| bind("settings.fleet.peers.listen", p.listen, e))?)
             }
         };
+        let mqtt = match &settings.settings.mqtt {
+            None => None,
+            Some(m) => {
+                let bound = runtime.listen(m.listen);
+                Some(bound.map_err(|e| bind("settings.mqtt.listen", m.listen, e))?)
+            }
+        };
         let (born, telemetry) = (runtime.now(), Arc::new(Telemetry::default()));
         let gate = Gate::new(runtime.clone(), &settings, telemetry.clone())?;
         gate.restore().await;
@@ -95,6 +103,7 @@
         let name = format!("{}-{born:x}", fleet.me);
         let instance = Instance {
             grpc: listener.address(),
+            mqtt: mqtt.as_ref().map(|l| l.address()),
             peer: socket.as_ref().map(|s| s.address()),
             driver: driver.clone(),
             telemetry: telemetry.clone(),
@@ -181,7 +190,11 @@
             gate: gate.clone(),
         };
         start(Box::pin(gate.watch()));
-        start(Box::pin(grpc::listen(door, listener)));
+        if let Some(listener) = mqtt {
+            let front = Mqtt::new(runtime.clone(), &settings);
+            start(Box::pin(front::listen(front, door.clone(), listener)));
+        }
+        start(Box::pin(front::listen(Grpc, door, listener)));
         tracing::info!(ingress = fleet.me, grpc = %instance.grpc, "started");
         Ok(instance)
     }
@@ -195,6 +208,11 @@
         self.grpc
     }
 
+    /// Where the MQTT front listens.
+    pub fn mqtt_address(&self) -> Option<SocketAddr> {
+        self.mqtt
+    }
+
     /// Where messages of peers are received.
     pub fn peer_address(&self) -> Option<SocketAddr> {
         self.peer
--- a/crates/gateway/src/settings/compiled.rs
+++ b/crates/gateway/src/settings/compiled.rs
@@ -152,6 +152,12 @@
                 say("ledger.group.addresses".into(), text);
             }
         }
+        for (n, (user, secret)) in settings.mqtt.iter().flat_map(|m| &m.users).enumerate() {
+            if argon2::password_hash::phc::PasswordHash::new(secret).is_err() {
+                // The secret itself is not repeated.
+                say(format!("mqtt.users[{n}]"), format!("{user:?}: expected a PHC string of Argon2"));
+            }
+        }
         let mut named = Vec::new();
         for (n, text) in a.named.iter().enumerate() {
             match Block::parse(text) {
--- a/crates/gateway/src/settings/mod.rs
+++ b/crates/gateway/src/settings/mod.rs
@@ -80,6 +80,10 @@
     #[serde(default)]
     #[garde(dive)]
     pub descriptors: Descriptors,
+    /// The MQTT front; none: there is none.
+    #[serde(default)]
+    #[garde(dive)]
+    pub mqtt: Option<Mqtt>,
     /// The billing ledger; none: use is not written down.
     #[serde(default)]
     #[garde(dive)]
@@ -603,6 +607,108 @@
     }
 }
 
+/// The MQTT front. Deadlines, units and admission are those of all fronts.
+#[derive(Clone, Debug, Serialize, Deserialize, JsonSchema, Validate)]
+#[serde(deny_unknown_fields)]
+#[garde(allow_unvalidated)]
+pub struct Mqtt {
+    /// Where it listens.
+    #[schemars(with = "String")]
+    pub listen: SocketAddr,
+    /// What publishes mean, by their topic: the first that covers it counts; others are not authorized.
+    #[garde(dive, length(min = 1, max = 256))]
+    pub topics: Vec<Topic>,
+    /// Users with their secrets, as PHC strings of Argon2 (`$argon2id$...`).
+    #[serde(default)]
+    #[garde(length(max = 100_000))]
+    pub users: BTreeMap<String, String>,
+    /// Whether clients without a user name are let in.
+    #[serde(default)]
+    pub anonymous: bool,
+    /// Bytes of a packet.
+    #[serde(default = "mqtt_packet")]
+    #[garde(range(min = 64, max = 16 << 20))]
+    pub most_packet: usize,
+    /// Publishes of QoS 1 and 2 that a client may have without an answer.
+    #[serde(default = "mqtt_receive")]
+    #[garde(range(min = 1, max = 10_000))]
+    pub receive_maximum: u16,
+    /// Topic aliases of a connection.
+    #[serde(default = "mqtt_aliases")]
+    #[garde(range(min = 0, max = 1024))]
+    pub topic_aliases: u16,
+    /// The longest keep alive in seconds; clients that want none or a longer one are told this.
+    #[serde(default = "mqtt_keep_alive")]
+    #[garde(range(min = 1, max = 65_535))]
+    pub keep_alive_s: u16,
+    /// The longest time in seconds that a session outlives its connection.
+    #[serde(default = "mqtt_session")]
+    #[garde(range(min = 0, max = 604_800))]
+    pub session_s: u32,
+    /// Sessions without a connection that are kept; the oldest go first.
+    #[serde(default = "mqtt_sessions")]
+    #[garde(range(min = 1, max = 10_000_000))]
+    pub sessions: usize,
+    /// Passwords that are checked in a second; a check is slow by intent, and a good one is remembered.
+    #[serde(default = "mqtt_checks")]
+    #[garde(range(min = 1, max = 10_000))]
+    pub checks_per_s: u32,
+}
+
+fn mqtt_checks() -> u32 {
+    10
+}
+
+fn mqtt_packet() -> usize {
+    256 << 10
+}
+fn mqtt_receive() -> u16 {
+    64
+}
+fn mqtt_aliases() -> u16 {
+    16
+}
+fn mqtt_keep_alive() -> u16 {
+    120
+}
+fn mqtt_session() -> u32 {
+    3600
+}
+fn mqtt_sessions() -> usize {
+    100_000
+}
+
+/// What publishes to a topic mean.
+#[derive(Clone, Debug, Serialize, Deserialize, JsonSchema, Validate)]
+#[serde(deny_unknown_fields)]
+#[garde(allow_unvalidated)]
+pub struct Topic {
+    /// Which topics.
+    #[garde(custom(topic_filter))]
+    pub filter: String,
+    /// Whose request it is.
+    pub account: Part,
+    /// Its class.
+    pub class: Part,
+}
+
+/// Where a name comes from.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "snake_case")]
+pub enum Part {
+    /// A level of the topic, from 0.
+    Level(usize),
+    /// The user name of the connection.
+    User,
+    /// This one.
+    Is(String),
+}
+
+fn topic_filter(text: &str, _: &()) -> garde::Result {
+    let good = chalkgap_wire::mqtt::topic::is_filter(text);
+    good.then_some(()).ok_or_else(|| garde::Error::new("expected a topic filter"))
+}
+
 /// The billing ledger.
 #[derive(Clone, Debug, Serialize, Deserialize, JsonSchema, Validate)]
 #[serde(deny_unknown_fields)]
--- a/crates/gateway/src/telemetry.rs
+++ b/crates/gateway/src/telemetry.rs
@@ -62,6 +62,14 @@
     lists,
     /// Node lists refused.
     lists_bad,
+    /// Connections of MQTT clients that were let in, and those that were not for their user or password.
+    mqtt_connected,
+    /// See `mqtt_connected`.
+    mqtt_denied,
+    /// Publishes that came again with DUP, and may have run elsewhere: not run.
+    mqtt_repeated,
+    /// Sessions that were taken over by a new connection.
+    mqtt_taken_over,
     /// Requests refused because the ledger's disk was slow or had failed.
     ledger_refused,
     /// Requests served without an entry, as the ledger's disk had failed.
--- a/crates/lab/benches/ledger.rs
+++ b/crates/lab/benches/ledger.rs
@@ -4,7 +4,7 @@
 //! `cargo bench -p chalkgap-lab --bench ledger [-- --entries N]`
 
 use chalkgap::runtime::system::System;
-use chalkgap::runtime::{Runtime, Shared};
+use chalkgap::runtime::Shared;
 use chalkgap::settings::{self, Settings};
 use chalkgap::Instance;
 use chalkgap_ledger::entry::{Open, Settled};
--- a/crates/pipe/src/lib.rs
+++ b/crates/pipe/src/lib.rs
@@ -4,9 +4,10 @@
 pub mod unary;
 
 use async_channel::Receiver;
-use bytes::Buf;
+use bytes::{Buf, BytesMut};
 use chalkgap_runtime::{Alarm, Micros, Shared, Stream};
 use chalkgap_wire::http2::{ConnError, Connection};
+use chalkgap_wire::mqtt;
 use futures_lite::{future, AsyncRead, AsyncWrite, Stream as _};
 use std::future::Future;
 use std::pin::Pin;
@@ -25,8 +26,41 @@
     future::or(over, task).await;
 }
 
+/// A side of a connection that takes bytes and gives bytes, free of I/O.
+pub trait Machine {
+    /// Why a connection cannot go on.
+    type Error;
+    /// Bytes came, at a time in microseconds.
+    ///
+    /// # Errors
+    /// The peer broke a rule; what is to be said of it is in the output.
+    fn receive(&mut self, now: Micros, bytes: &[u8]) -> Result<(), Self::Error>;
+    /// Bytes to be written.
+    fn output(&mut self) -> &mut BytesMut;
+}
+
+impl Machine for Connection {
+    type Error = ConnError;
+    fn receive(&mut self, now: Micros, bytes: &[u8]) -> Result<(), ConnError> {
+        Connection::receive(self, now, bytes)
+    }
+    fn output(&mut self) -> &mut BytesMut {
+        Connection::output(self)
+    }
+}
+
+impl Machine for mqtt::server::Server {
+    type Error = mqtt::Error;
+    fn receive(&mut self, _: Micros, bytes: &[u8]) -> Result<(), mqtt::Error> {
+        mqtt::server::Server::receive(self, bytes)
+    }
+    fn output(&mut self) -> &mut BytesMut {
+        mqtt::server::Server::output(self)
+    }
+}
+
 /// What ended a turn.
-pub enum Turn<C> {
+pub enum Turn<C, E = ConnError> {
     /// Bytes came: there may be events.
     Read,
     /// A command came.
@@ -36,17 +70,17 @@
     /// The signal's other end was dropped.
     Signal,
     /// The peer broke a rule; the GOAWAY is to be written.
-    Bad(ConnError),
+    Bad(E),
     /// The stream ended, or nobody can send commands any more.
     Closed,
 }
 
 /// A stream with its state machine, commands from inside and a signal.
-pub struct Pipe<C> {
+pub struct Pipe<C, M = Connection> {
     runtime: Shared,
     stream: Box<dyn Stream>,
     /// The protocol.
-    pub conn: Connection,
+    pub conn: M,
     commands: Pin<Box<Receiver<C>>>,
     signal: Option<Pin<Box<Receiver<()>>>>,
     alarm: Alarm,
@@ -54,12 +88,12 @@
     backlog: Option<(Micros, u64)>,
 }
 
-impl<C> Pipe<C> {
+impl<C, M: Machine> Pipe<C, M> {
     /// A pipe that ends when `commands` is closed; `signal` is told once when its other end is dropped.
     pub fn new(
         runtime: Shared,
         stream: Box<dyn Stream>,
-        conn: Connection,
+        conn: M,
         commands: Receiver<C>,
         signal: Receiver<()>,
     ) -> Self {
@@ -84,7 +118,7 @@
     }
 
     /// Writes what is to be written, then waits for something to happen. `read`: bytes may be taken.
-    pub async fn turn(&mut self, until: Option<Micros>, read: bool) -> Turn<C> {
+    pub async fn turn(&mut self, until: Option<Micros>, read: bool) -> Turn<C, M::Error> {
         future::poll_fn(|cx| {
             loop {
                 let output = self.conn.output();
--- a/crates/standin/src/rogue.rs
+++ b/crates/standin/src/rogue.rs
@@ -125,7 +125,8 @@
         |key: &str| entries.iter().find(|e| e.key == key).map(|e| e.value.clone()).unwrap_or_default();
     let (class, call) = (value("class"), value(CALL_ENTRY));
     let own = entries.iter().filter(|e| e.key == CALL_ENTRY).cloned().collect();
-    let work = Work { account: value("account"), units: request.hits_addend, entries: own };
+    let work =
+        Work { account: value("account"), units: request.hits_addend, entries: own, ..Work::default() };
     let name = format!("0-rogue-{call}");
     let times = match defect {
         Defect::Invents => 0,
--- a/crates/wire/src/intake.rs
+++ b/crates/wire/src/intake.rs
@@ -25,6 +25,9 @@
     /// The client's descriptor entries that mean nothing to the ingress.
     #[prost(message, repeated, tag = "3")]
     pub entries: Vec<Entry>,
+    /// The body, where the front's protocol has one.
+    #[prost(bytes = "bytes", tag = "4")]
+    pub payload: bytes::Bytes,
 }
 
 /// An answer.
--- a/crates/wire/src/mqtt/codec.rs
+++ b/crates/wire/src/mqtt/codec.rs
@@ -361,7 +361,7 @@
 pub(super) fn put_text(out: &mut BytesMut, text: &str) {
     let end =
         (0..=text.len().min(usize::from(u16::MAX))).rev().find(|n| text.is_char_boundary(*n)).unwrap_or(0);
-    put_binary(out, text[..end].as_bytes());
+    put_binary(out, &text.as_bytes()[..end]);
 }
 
 /// Puts a packet into bytes, as a connection of this version has it.
--- a/crates/wire/src/mqtt/mod.rs
+++ b/crates/wire/src/mqtt/mod.rs
@@ -3,6 +3,7 @@
 //! - [`packet`]: the control packets as types
 //! - [`property`]: the properties of MQTT 5
 //! - [`codec`]: packets from bytes and to bytes, with limits on everything before memory is taken
+//! - [`server`]: a server's side of a connection, and the session that outlives it
 //! - [`topic`]: names and filters
 //! - [`reason`]: reason codes
 
@@ -10,6 +11,7 @@
 pub mod packet;
 pub mod property;
 pub mod reason;
+pub mod server;
 pub mod topic;
 
 pub use codec::{decode, encode, Error};
