--- a/crates/cli/tests/scenarios.rs
+++ b/crates/cli/tests/scenarios.rs
@@ -14,8 +14,14 @@
 static ALONE: Mutex<()> = Mutex::new(());
 
 fn run(script: &str, home: Home) -> Verdict {
+    through(None, script, home)
+}
+
+/// The same day, all of it through one front.
+fn through(door: Option<&str>, script: &str, home: Home) -> Verdict {
     let _alone = ALONE.lock().unwrap_or_else(PoisonError::into_inner);
-    let day = Day::read("day.star", script.into(), &[]).expect("a good day");
+    let given: Vec<(String, String)> = door.iter().map(|d| ("door".to_owned(), (*d).to_owned())).collect();
+    let day = Day::read("day.star", script.into(), &given).expect("a good day");
     let system = System::new();
     system.threads(1);
     system.clone().run(play(system, day, home)).expect("a day that can be played")
@@ -33,6 +39,17 @@
     }
 }
 
+/// The same scenario but for the door.
+#[test]
+fn the_short_day_over_mqtt_alone() {
+    let [here, _] = homes();
+    let v = through(Some("mqtt"), include_str!("../../lab/days/short.star"), here);
+    assert!(v.violations.is_empty(), "{:#?}", v.violations);
+    assert!(v.calls > 800 && v.served > 500 && v.refused > 20, "a day of some traffic: {v:?}");
+    let billing = v.billing.expect("the day has ledgers");
+    assert!(billing.differences.is_empty(), "{:#?}", billing.differences);
+}
+
 /// Calls that waited in the socket of an ingress that stood still have lost that time: counting theirs from the reading,
 /// it answered some 100 ms late, with an attempt sent after the client's time.
 #[test]
@@ -45,8 +62,10 @@
 
 #[test]
 fn decisions_are_counted_alike() {
-    let verdicts = homes().map(|home| run(include_str!("../../lab/days/counted.star"), home));
-    for v in &verdicts {
+    let script = include_str!("../../lab/days/counted.star");
+    let doors = ["grpc", "mqtt"].into_iter();
+    let verdicts = doors.flat_map(|d| homes().map(|home| through(Some(d), script, home)));
+    for v in verdicts {
         assert!(v.violations.is_empty(), "{:#?}", v.violations);
         assert_eq!((v.calls, v.served, v.refused), (144, 6 * 4 + 6 * 9, 144 - 78), "{v:?}");
     }
--- a/crates/gateway/src/front/mqtt.rs
+++ b/crates/gateway/src/front/mqtt.rs
@@ -25,6 +25,8 @@
 /// User properties that the front reads itself.
 const UNITS: &str = "units";
 const KEY: &str = "key";
+/// Finer than the message expiry, which has whole seconds.
+const TIMEOUT: &str = "timeout-ms";
 /// User properties of answers.
 const RETRY: &str = "retry-after-ms";
 const STATUS: &str = "status";
@@ -34,6 +36,8 @@
 const CLIENT: usize = 256;
 /// Identifiers of QoS 2 that a session remembers.
 const REMEMBERED: usize = 1024;
+/// How long a client may take to close after it was told to go, in microseconds.
+const LINGER: Micros = 500_000;
 /// How long the last connection of a session may take to give it up, in microseconds.
 const HAND_OVER: Micros = 2_000_000;
 
@@ -503,18 +507,24 @@
     fn demand(&self, topic: &str, properties: &Properties, payload: Bytes) -> Result<Demand, u8> {
         let meaning = self.shelf.meaning(topic, self.user.as_deref());
         let (account, class) = meaning.ok_or(reason::NOT_AUTHORIZED)?;
-        let (mut units, mut key, mut timeout, mut entries) = (1, None, None, Vec::new());
+        let (mut units, mut key, mut timeout, mut expiry) = (1, None, None, None);
+        let mut entries = Vec::new();
         for p in &properties.0 {
             match p {
                 Property::User(k, v) if k == UNITS => {
                     units = v.parse().map_err(|_| reason::IMPLEMENTATION_SPECIFIC)?;
                 }
                 Property::User(k, v) if k == KEY => key = Some(v.clone()),
+                Property::User(k, v) if k == TIMEOUT => {
+                    let ms: Micros = v.parse().map_err(|_| reason::IMPLEMENTATION_SPECIFIC)?;
+                    timeout = Some(ms.saturating_mul(1000));
+                }
                 Property::User(k, v) => entries.push(Entry { key: k.clone(), value: v.clone() }),
-                Property::MessageExpiry(seconds) => timeout = Some(Micros::from(*seconds) * 1_000_000),
+                Property::MessageExpiry(seconds) => expiry = Some(Micros::from(*seconds) * 1_000_000),
                 _ => {}
             }
         }
+        let timeout = timeout.into_iter().chain(expiry).min();
         let arrived = self.pass.came();
         let units = units.max(1);
         Ok(Demand { account, class: Some(class), key, units, arrived, timeout, entries, payload })
@@ -602,13 +612,28 @@
             }
         }
         let mut session = pipe.conn.take_session();
+        // Closed with bytes unread, the last word would be lost on its way: what still comes is read, and passed over.
+        let (end, mut late) = (runtime.now() + LINGER, Vec::new());
+        while pipe.conn.closed() && !self.gone {
+            match pipe.turn(Some(end), true).await {
+                Turn::Command(r) => late.push(r),
+                Turn::Read => {}
+                _ => break,
+            }
+        }
         pipe.close(runtime.now() + 1_000_000).await;
         if self.client.is_empty() {
             return; // it was never let in
         }
         // Whoever comes meanwhile waits for it a while: each request has its answer by its deadline.
         while !self.waiting.is_empty() {
-            let Ok(r) = replies.recv().await else { break };
+            let r = match late.pop() {
+                Some(r) => r,
+                None => match replies.recv().await {
+                    Ok(r) => r,
+                    Err(_) => break,
+                },
+            };
             let Some(w) = self.waiting.remove(&r.token) else { continue };
             let served = matches!(r.answer, Answer::Served { .. }).then_some((w.account, w.preferred));
             self.pass.ended(served, matches!(r.answer, Answer::Refused { .. }));
--- a/crates/lab/days/counted.star
+++ b/crates/lab/days/counted.star
@@ -1,6 +1,8 @@
 # A day whose decisions can be counted beforehand: stores that all but never fill, each account at one ingress, its
 # requests one after the other. Whoever plays it, each account has as many served as its store holds.
 
+door = given.get("door", "grpc")
+
 day = {
     "seed": int(given.get("seed", "1")),
     "seconds": 0.2,
@@ -18,8 +20,8 @@
     "nodes": [{"count": 3, "cores": 8}],
     "work_ms": {"sig-check": 1.0},
     "accounts": [
-        {"name": "four", "plan": "four", "count": 6, "fixed": 12, "width": 1, "classes": {"sig-check": 1.0}},
-        {"name": "nine", "plan": "nine", "count": 6, "fixed": 12, "width": 1, "classes": {"sig-check": 1.0}},
+        {"name": "four", "plan": "four", "count": 6, "fixed": 12, "width": 1, "door": door, "classes": {"sig-check": 1.0}},
+        {"name": "nine", "plan": "nine", "count": 6, "fixed": 12, "width": 1, "door": door, "classes": {"sig-check": 1.0}},
     ],
     "clients": {"retries": 0, "patience": 0.9},
 }
--- a/crates/lab/days/short.star
+++ b/crates/lab/days/short.star
@@ -35,10 +35,11 @@
     "work_ms": {"sig-check": 20.0, "report-upload": 45.0, "referral": 30.0},
     "accounts": [
         {"name": "starter", "plan": "starter", "count": 12, "rate": 1.2,
-         "classes": {"sig-check": 0.6, "report-upload": 0.4}},
-        {"name": "team", "plan": "team", "count": 6, "rate": 3.0,
+         "classes": {"sig-check": 0.6, "report-upload": 0.4}, "door": given.get("door", "grpc")},
+        {"name": "team", "plan": "team", "count": 6, "rate": 3.0, "door": given.get("door", "mqtt"),
          "classes": {"sig-check": 0.6, "report-upload": 0.3, "referral": 0.1}},
         {"name": "enterprise", "plan": "enterprise", "count": 3, "rate": 20.0, "width": 3,
+         "door": given.get("door", "grpc"),
          "classes": {"sig-check": 0.6, "report-upload": 0.3, "referral": 0.1}},
     ],
     "clients": {"retries": 3, "pause_ms": 200, "patience": 0.5, "hurried": 0.02,
--- a/crates/lab/src/day.rs
+++ b/crates/lab/src/day.rs
@@ -119,6 +119,20 @@
     #[serde(default = "two")]
     #[garde(range(min = 1, max = 32))]
     pub width: u16,
+    /// What they speak.
+    #[serde(default)]
+    pub door: Door,
+}
+
+/// The front that clients use.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "snake_case")]
+pub enum Door {
+    /// The gRPC rate limit service.
+    #[default]
+    Grpc,
+    /// MQTT 5.
+    Mqtt,
 }
 
 fn two() -> u16 {
--- a/crates/lab/src/drill.rs
+++ b/crates/lab/src/drill.rs
@@ -2,7 +2,7 @@
 //! journal to the auditor. Ingresses are instances in this process or processes of their own; all else is the same.
 
 use crate::audit::{self, Law, Verdict};
-use crate::day::{AccountGroup, Day, Kind, Trouble};
+use crate::day::{AccountGroup, Day, Door, Kind, Trouble};
 use crate::ledger::{billed, compare, counted, Billing};
 use chalkgap::runtime::{Micros, Shared};
 use chalkgap::settings::{self, Group, Repeat, Settings, SettingsError};
@@ -11,6 +11,7 @@
 use chalkgap_standin::client::{Ask, Client};
 use chalkgap_standin::flood;
 use chalkgap_standin::journal::{Answer, Journal, Seen};
+use chalkgap_standin::mqtt;
 use chalkgap_standin::network::{Relay, Weather};
 use chalkgap_standin::node::{Cell, Faults, Machine, Node, Tally};
 use chalkgap_standin::roster::Roster;
@@ -80,11 +81,34 @@
 struct Slot {
     settings: Settings,
     grpc: SocketAddr,
+    mqtt: SocketAddr,
     life: Life,
     /// Clients know since then that nobody is there.
     down_since: Option<Micros>,
 }
 
+/// A client of either front.
+enum Speaker {
+    Grpc(Client),
+    Mqtt(mqtt::Client),
+}
+
+impl Speaker {
+    fn closed(&self) -> bool {
+        match self {
+            Speaker::Grpc(c) => c.closed(),
+            Speaker::Mqtt(c) => c.closed(),
+        }
+    }
+
+    async fn call(&self, ask: &Ask) -> Answer {
+        match self {
+            Speaker::Grpc(c) => c.call(ask).await.answer,
+            Speaker::Mqtt(c) => c.call(ask).await.answer,
+        }
+    }
+}
+
 struct NodeSlot {
     machine: Machine,
     zone: usize,
@@ -119,7 +143,7 @@
     roster_at: SocketAddr,
     relays: Vec<Relay>,
     mood: Mutex<Mood>,
-    clients: Mutex<HashMap<(String, u16), Arc<Client>>>,
+    clients: Mutex<HashMap<(String, u16), Arc<Speaker>>>,
     calls: AtomicU64,
     running: AtomicU64,
     deadlines: HashMap<String, Micros>,
@@ -229,7 +253,7 @@
             }
         }
         for n in 0..day.ingresses {
-            let grpc = free_port()?;
+            let (grpc, mqtt) = (free_port()?, free_port()?);
             let mut value = day.settings.clone();
             let Some(map) = value.as_object_mut() else {
                 return Err(DrillError::Day {
@@ -248,6 +272,15 @@
             map.insert("fleet".into(), fleet);
             let front = map.entry("front").or_insert_with(|| serde_json::json!({}));
             front["listen"] = grpc.to_string().into();
+            if day.accounts.iter().any(|g| g.door == Door::Mqtt) {
+                let topic = serde_json::json!({"filter": "requests/+/+", "account": {"level": 1},
+                    "class": {"level": 2}});
+                map.insert(
+                    "mqtt".into(),
+                    serde_json::json!({"listen": mqtt, "topics": [topic],
+                    "anonymous": true, "receive_maximum": 1000}),
+                );
+            }
             let cache = folder.join(format!("list-{n}.json"));
             if let (Some(ledger), Some((consumer, _))) = (map.get_mut("ledger"), &billing) {
                 ledger["folder"] = folder.join(format!("ledger-{n}")).display().to_string().into();
@@ -270,7 +303,7 @@
             }
             let settings: Settings = settings::typed("day", "settings", value)?;
             deadlines = settings.classes.iter().map(|c| (c.name.clone(), c.deadline_ms * 1000)).collect();
-            slots.push(Slot { settings, grpc, life: Life::Down, down_since: None });
+            slots.push(Slot { settings, grpc, mqtt, life: Life::Down, down_since: None });
         }
         for (n, g) in day.accounts.iter().enumerate() {
             if let Some(class) = g.classes.keys().find(|c| !deadlines.contains_key(*c)) {
@@ -755,17 +788,22 @@
     // ---- clients ----
 
     /// The connection that a group's clients share to an ingress; none if there is none.
-    async fn client(&self, group: &str, ingress: u16) -> Option<Arc<Client>> {
+    async fn client(&self, group: &str, ingress: u16) -> Option<Arc<Speaker>> {
         let key = (group.to_owned(), ingress);
         if let Some(c) = lock(&self.clients).get(&key).filter(|c| !c.closed()) {
             return Some(c.clone());
         }
-        let at = {
+        let (grpc, mqtt) = {
             let slots = lock(&self.slots);
-            slots[usize::from(ingress)].grpc
+            let slot = &slots[usize::from(ingress)];
+            (slot.grpc, slot.mqtt)
         };
-        let client = Client::connect(self.runtime.clone(), at, ingress, self.journal.clone()).await.ok()?;
-        let client = Arc::new(client);
+        let (runtime, journal) = (self.runtime.clone(), self.journal.clone());
+        let door = self.day.accounts.iter().find(|g| g.name == group).map_or(Door::Grpc, |g| g.door);
+        let client = Arc::new(match door {
+            Door::Grpc => Speaker::Grpc(Client::connect(runtime, grpc, ingress, journal).await.ok()?),
+            Door::Mqtt => Speaker::Mqtt(mqtt::Client::connect(runtime, mqtt, ingress, journal).await.ok()?),
+        });
         lock(&self.clients).insert(key, client.clone());
         Some(client)
     }
@@ -835,7 +873,7 @@
             let account = account(g, i);
             let ask = Ask { call, account, class: class.clone(), units, key: Some(key.clone()), timeout };
             let answer = match self.client(&g.name, ingress).await {
-                Some(client) => client.call(&ask).await.answer,
+                Some(client) => client.call(&ask).await,
                 None => Answer::NotTaken,
             };
             let pause = match answer {
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,5 +1,6 @@
 //! Stand-ins for what an ingress meets, by the same public protocols: [`node`] is an intake node that can be told to
-//! misbehave, [`client`] asks the rate limit service, [`flood`] is too many of them, [`roster`] pushes
+//! misbehave, [`client`] asks the rate limit service, [`mqtt`] publishes, [`billing`] is a
+//! billing consumer, [`flood`] is too many of them, [`roster`] pushes
 //! node lists, [`network`] loses datagrams. What passed on their sockets goes into a [`journal`], which is
 //! all that an auditor sees: no counter of an ingress is in it.
 
@@ -7,6 +8,7 @@
 pub mod client;
 pub mod flood;
 pub mod journal;
+pub mod mqtt;
 pub mod network;
 pub mod node;
 pub mod rogue;
