--- a/crates/lab/benches/ingress.rs
+++ b/crates/lab/benches/ingress.rs
@@ -500,6 +500,14 @@
     })
 }
 
+fn memories(system: &Arc<System>) {
+    let (idle, stream) = memory(system, &Server::start(&["ingress"]), 1000, 10_000);
+    let (tonic_idle, _) = memory(system, &Server::start(&["tonic"]), 1000, 0);
+    println!(
+        "\nMemory: {idle:.1} KiB an idle connection (tonic {tonic_idle:.1}), {stream:.2} KiB an open call"
+    );
+}
+
 // ---- shares ----
 
 /// Microseconds of the module for one request with its answer, by the number of accounts.
@@ -646,7 +654,8 @@
     let system = System::new();
     system.threads(1);
     if args.iter().any(|a| a == "--mqtt") {
-        return mqtt(&system, seconds);
+        mqtt(&system, seconds);
+        return memories(&system);
     }
     ledger(&system, seconds);
     if args.iter().any(|a| a == "--ledger") {
@@ -687,11 +696,7 @@
             servers.iter().map(|s| load(&system, s.1, s.2, connections, Some(rate), seconds)).collect();
         servers.iter().zip(&rows).for_each(|(s, r)| row(s.0, r, &rows[0]));
     }
-    let (idle, stream) = memory(&system, &Server::start(&["ingress"]), 1000, 10_000);
-    let (tonic_idle, _) = memory(&system, &Server::start(&["tonic"]), 1000, 0);
-    println!(
-        "\nMemory: {idle:.1} KiB an idle connection (tonic {tonic_idle:.1}), {stream:.2} KiB an open call"
-    );
+    memories(&system);
     let (m, w) = ([100, 10_000, 100_000].map(module), wire());
     println!(
         "\nModule, a request with its answer: {:.2} / {:.2} / {:.2} us with 100 / 10,000 / 100,000 accounts",
