--- a/crates/lab/benches/ingress.rs
+++ b/crates/lab/benches/ingress.rs
@@ -16,6 +16,7 @@
 use chalkgap_standin::node::{Machine, Node};
 use chalkgap_wire::grpc;
 use chalkgap_wire::http2::{Config, Connection, Event, Field};
+use chalkgap_wire::mqtt as mqtt_wire;
 use chalkgap_wire::mqtt::packet::Publish;
 use chalkgap_wire::mqtt::{Packet, QoS};
 use chalkgap_wire::ratelimit::{
@@ -400,7 +401,65 @@
         runtime.sleep_until(runtime.now() + 1_500_000).await;
         let each = (server.memory() - before) / 10_000.0;
         println!("{each:.2} KiB a session without a connection (10,000 of them, opened one after the other)");
+        // All that can come back at once, in one second's worth of time or less.
+        let begun = Instant::now();
+        let (done, told) = async_channel::unbounded();
+        let mut tasks = Vec::new();
+        for n in 0..3000 {
+            let (one, done) = (connect(10_000 + n), done.clone());
+            tasks.push(runtime.spawn(Box::pin(async move {
+                let (pipe, ..) = one.await;
+                let present =
+                    matches!(pipe.conn.packets.front(), Some(Packet::ConnAck(c)) if c.session_present);
+                let _ = done.try_send(present);
+            })));
+        }
+        for t in tasks {
+            t.await;
+        }
+        let present = std::iter::from_fn(|| told.try_recv().ok()).filter(|p| *p).count();
+        println!(
+            "3,000 come back at once: let in within {:.2} s, {present} with their session",
+            begun.elapsed().as_secs_f64()
+        );
     });
+    let (grpc, mqtt) = bytes_a_call();
+    println!("Bytes of a refused call and its answer: gRPC {grpc}, MQTT {mqtt} (the same account and class, no properties)");
+}
+
+/// Bytes both ways of a call and its answer, as they are on the wire once a connection is warm.
+fn bytes_a_call() -> (usize, usize) {
+    let (mut c, mut s) = (Connection::client(Config::default()), Connection::server(Config::default()));
+    let (message, fields) = (message("none"), fields(([127, 0, 0, 1], 8081).into()));
+    let head = vec![Field::constant(":status", "200"), Field::constant("content-type", "application/grpc")];
+    let answer = grpc::frame(&RateLimitResponse { overall_code: 2, ..Default::default() });
+    let pass = |a: &mut Connection, b: &mut Connection| {
+        let bytes = a.output().split();
+        b.receive(0, &bytes).unwrap();
+        bytes.len()
+    };
+    pass(&mut c, &mut s);
+    pass(&mut s, &mut c);
+    let mut last = 0;
+    for _ in 0..3 {
+        let id = c.open(&fields, false).unwrap();
+        c.data(id, message.clone(), true).unwrap();
+        last = pass(&mut c, &mut s);
+        s.headers(id, head.clone(), false).unwrap();
+        s.data(id, answer.clone(), false).unwrap();
+        s.headers(id, vec![Field::constant("grpc-status", "0")], true).unwrap();
+        last += pass(&mut s, &mut c);
+    }
+    let mut out = bytes::BytesMut::new();
+    let (qos, topic) = (QoS::AtLeastOnce, "r/none".to_owned());
+    let publish = Packet::Publish(Publish { qos, packet: 1, topic, ..Publish::default() });
+    let retry = mqtt_wire::Property::User("retry-after-ms".into(), "1000".into());
+    let properties = mqtt_wire::Properties(vec![retry]);
+    let ack = Packet::PubAck(mqtt_wire::packet::Ack { packet: 1, code: 0x97, properties });
+    for packet in [publish, ack] {
+        mqtt_wire::encode(&packet, mqtt_wire::Version::V5, &mut out);
+    }
+    (last, out.len())
 }
 
 type Task = Pin<Box<dyn Future<Output = ()> + Send>>;
