Virtual world, begun: a whole ingress lives through minutes in no time, alike for a seed

Clock, timers, streams with latency, datagrams, files that lose what was not synced, hosts that are killed, all in memory and on one thread.

--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -2,9 +2,10 @@
 //! listeners, datagrams, files and randomness. Nothing above this crate names a socket type of the system or asks the
 //! system for the time, so that all of it can be played through on another world.
 //!
-//! [`system::System`] is the real one, on async-io and futures-lite.
+//! [`system::System`] is the real one, on async-io and futures-lite; [`virtual_world::World`] has no system under it.
 
 pub mod system;
+pub mod virtual_world;
 
 use futures_lite::{AsyncRead, AsyncWrite};
 use std::future::Future;
