One way to say that an attempt was never written, and other pieces that stood twice

Read once more. Driver: three places ended an attempt and told the module so, two turned an ask away, the request's name was made in two; the ledger's promise was worked out under its lock at each send and needed only when that failed. The MQTT front is made with its settings and needs no stand-in for them; both ways in which a publish ends tell the gate in one place. The stand-in clients note an ask by one piece of code; a book gives its ranges; CONNECT's version is chosen once in the encoder.

--- a/crates/gateway/src/driver.rs
+++ b/crates/gateway/src/driver.rs
@@ -279,9 +279,7 @@
             // More than the module was promised to be shown at once.
             add(&self.telemetry.refused);
             let pause = if limits.retry_after { limits.max_retry_after_ms * 1000 } else { 0 };
-            let _ =
-                ask.reply.try_send(Reply { token: ask.token, id: ask.id, answer: Answer::Refused { pause } });
-            return;
+            return turn_away(&ask, pause);
         }
         // What the ledger can promise is decided here, before the request is taken.
         let entry = match self.desk.as_ref().map(|d| d.promise()) {
@@ -293,9 +291,7 @@
             }
             Some(Promise::Refused { pause }) => {
                 add(&self.telemetry.ledger_refused);
-                let answer = Answer::Refused { pause };
-                let _ = ask.reply.try_send(Reply { token: ask.token, id: ask.id, answer });
-                return;
+                return turn_away(&ask, pause);
             }
         };
         let request = Request {
@@ -424,9 +420,7 @@
                 let out = self.held.get_mut(&id).and_then(|h| h.attempts.get_mut(usize::from(attempt)));
                 let Some(out) = out.filter(|o| !o.ended) else { return };
                 if out.waiting {
-                    out.ended = true;
-                    let backend = out.backend;
-                    self.moot(id, attempt, backend);
+                    self.moot(id, attempt);
                     return self.forget(id);
                 }
                 self.links.command(out.link, Command::Stop { id, attempt });
@@ -455,7 +449,7 @@
 
     fn send(&mut self, id: RequestId, backend: BackendId, expires: Micros) {
         let now = self.runtime.now();
-        let address = self.listed.get(&backend).copied();
+        let (address, request) = (self.listed.get(&backend).copied(), self.request_name(id));
         let Some(held) = self.held.get_mut(&id) else { return };
         let attempt = held.attempts.len() as u16;
         let until = if expires == 0 { held.ask.deadline } else { expires.min(held.ask.deadline) };
@@ -465,7 +459,7 @@
             class: held.ask.class,
             work: held.ask.work.clone(),
             key: held.ask.key.clone(),
-            request: format!("{}-{}", self.name, id.0),
+            request,
             entered: None,
             until,
         };
@@ -491,7 +485,7 @@
                 }
                 self.waiting.push_back(Waiting { number, attempt, call });
             }
-            Written::Failed => self.never(&call),
+            Written::Failed => self.moot(id, attempt),
         }
     }
 
@@ -499,6 +493,11 @@
         self.held.get_mut(&id)?.attempts.get_mut(usize::from(attempt))
     }
 
+    /// What nodes see a request as.
+    fn request_name(&self, id: RequestId) -> String {
+        format!("{}-{}", self.name, id.0)
+    }
+
     /// Writes down that an attempt is about to be made.
     fn write(&mut self, call: &upstream::Call) -> Written {
         let (Some(desk), Some(held)) = (&self.desk, self.held.get_mut(&call.id)) else {
@@ -519,13 +518,13 @@
                 ticket.map(|t| t.number)
             }
         };
-        match (number, desk.promise()) {
-            (Some(number), _) => Written::Number(number),
-            (None, Promise::Without) => {
+        match number {
+            Some(number) => Written::Number(number),
+            None if desk.promise() == Promise::Without => {
                 held.entry = Entry::Without;
                 Written::Without
             }
-            (None, _) => Written::Failed,
+            None => Written::Failed,
         }
     }
 
@@ -542,22 +541,15 @@
         match address.and_then(|a| self.links.start(backend, a, call)) {
             Some(link) => out.link = link,
             // Every connection to it is full, or it is listed no more: nothing was written.
-            None => {
-                out.ended = true;
-                self.moot(id, attempt, backend);
-            }
+            None => self.moot(id, attempt),
         }
     }
 
-    fn never(&mut self, call: &upstream::Call) {
-        let Some(out) = self.out(call.id, call.attempt).filter(|o| !o.ended) else { return };
+    /// An attempt is over and nothing of it was written; the module is to hear of it.
+    fn moot(&mut self, id: RequestId, attempt: u16) {
+        let Some(out) = self.out(id, attempt).filter(|o| !o.ended) else { return };
         out.ended = true;
         let backend = out.backend;
-        self.moot(call.id, call.attempt, backend);
-    }
-
-    /// The module is to hear that nothing of an attempt was written.
-    fn moot(&mut self, id: RequestId, attempt: u16, backend: BackendId) {
         let complete = self.held.get(&id).is_some_and(|h| h.answered);
         let (metered, charged, report, took, outcome) = (None, None, None, 0, Outcome::Moot);
         let event =
@@ -584,7 +576,7 @@
                 }
                 self.start(call);
             } else {
-                self.never(&call);
+                self.moot(id, attempt);
             }
             let ended = self.out(id, attempt).is_none_or(|o| o.ended);
             if ended {
@@ -616,7 +608,7 @@
             let fate = if nodes.is_empty() {
                 Fate::Never
             } else {
-                let request = format!("{}-{}", self.name, id.0);
+                let request = self.request_name(id);
                 let open = open(&self.settings, &held.ask, request, String::new());
                 Fate::Doubtful { nodes, open: Box::new(open) }
             };
@@ -637,6 +629,12 @@
     }
 }
 
+/// Answers an ask that is not taken.
+fn turn_away(ask: &Ask, pause: Micros) {
+    let answer = Answer::Refused { pause };
+    let _ = ask.reply.try_send(Reply { token: ask.token, id: ask.id, answer }); // closed: the client is gone
+}
+
 /// What became of writing an entry.
 enum Written {
     /// None is needed.
--- a/crates/gateway/src/front/mqtt.rs
+++ b/crates/gateway/src/front/mqtt.rs
@@ -4,7 +4,7 @@
 use super::{Bad, Demand, Door, Front, WORD};
 use crate::driver::{Answer, Ask, Input, Reply};
 use crate::gate::Pass;
-use crate::settings::{self, Compiled, Part};
+use crate::settings::{self, Part};
 use crate::telemetry::add;
 use argon2::password_hash::phc::PasswordHash;
 use argon2::{Argon2, PasswordVerifier};
@@ -149,29 +149,12 @@
 
 impl Mqtt {
     /// A front with these settings.
-    pub fn new(runtime: Shared, settings: &Compiled) -> Self {
+    pub fn new(runtime: &Shared, settings: settings::Mqtt) -> Self {
         let mut key = [0; 32];
         for part in key.chunks_mut(8) {
             part.copy_from_slice(&runtime.random().to_le_bytes());
         }
         let known = Mutex::new(HashMap::new());
-        let mqtt = settings.settings.mqtt.clone();
-        // Made only where there are settings for it.
-        let settings = mqtt.unwrap_or_else(|| settings::Mqtt {
-            listen: ([127, 0, 0, 1], 0).into(),
-            topics: Vec::new(),
-            users: BTreeMap::new(),
-            anonymous: false,
-            most_packet: 1024,
-            receive_maximum: 1,
-            topic_aliases: 0,
-            keep_alive_s: 1,
-            session_s: 0,
-            sessions: 1,
-            sessions_per_user: 1,
-            snapshot: None,
-            checks_per_s: 1,
-        });
         let (sessions, checks) = (Mutex::default(), Mutex::default());
         Mqtt { shared: Arc::new(Shelf { sessions, known, key, checks, settings }) }
     }
@@ -657,11 +640,17 @@
         }
     }
 
-    /// The one word on a request.
-    fn answer(&mut self, r: Reply, pipe: &mut Link) {
-        let Some(w) = self.waiting.remove(&r.token) else { return };
+    /// The publish that a word is for; the gate hears how it ended.
+    fn known(&mut self, r: &Reply) -> Option<Waiting> {
+        let w = self.waiting.remove(&r.token)?;
         let served = matches!(r.answer, Answer::Served { .. }).then_some((w.account, w.preferred));
         self.pass.ended(served, matches!(r.answer, Answer::Refused { .. }));
+        Some(w)
+    }
+
+    /// The one word on a request.
+    fn answer(&mut self, r: Reply, pipe: &mut Link) {
+        let Some(w) = self.known(&r) else { return };
         let (code, status, mut properties, body) = said(r.answer);
         if let Some((to, data)) = w.answer_to {
             // A message goes to whom has subscribed to its topic: that is the client itself or nobody.
@@ -725,9 +714,7 @@
                     Err(_) => break,
                 },
             };
-            let Some(w) = self.waiting.remove(&r.token) else { continue };
-            let served = matches!(r.answer, Answer::Served { .. }).then_some((w.account, w.preferred));
-            self.pass.ended(served, matches!(r.answer, Answer::Refused { .. }));
+            let Some(w) = self.known(&r) else { continue };
             let (code, _, properties, _) = said(r.answer);
             if w.qos == QoS::ExactlyOnce {
                 session.said(w.packet, code, properties);
--- a/crates/gateway/src/instance.rs
+++ b/crates/gateway/src/instance.rs
@@ -91,14 +91,14 @@
             None => None,
             Some(m) => {
                 let bound = runtime.listen(m.listen);
-                Some(bound.map_err(|e| bind("settings.mqtt.listen", m.listen, e))?)
+                let listener = bound.map_err(|e| bind("settings.mqtt.listen", m.listen, e))?;
+                Some((Mqtt::new(&runtime, m.clone()), listener))
             }
         };
         let (born, telemetry) = (runtime.now(), Arc::new(Telemetry::default()));
         let gate = Gate::new(runtime.clone(), &settings, telemetry.clone())?;
         gate.restore().await;
-        let sessions = mqtt.as_ref().map(|_| Mqtt::new(runtime.clone(), &settings));
-        if let Some(front) = &sessions {
+        if let Some((front, _)) = &mqtt {
             front.restore(&runtime).await;
         }
         let opened = Desk::open(&runtime, &settings, &telemetry).await?;
@@ -108,14 +108,14 @@
         let name = format!("{}-{born:x}", fleet.me);
         let instance = Instance {
             grpc: listener.address(),
-            mqtt: mqtt.as_ref().map(|l| l.address()),
+            mqtt: mqtt.as_ref().map(|m| m.1.address()),
             peer: socket.as_ref().map(|s| s.address()),
             driver: driver.clone(),
             telemetry: telemetry.clone(),
             open: Arc::default(),
             gate: gate.clone(),
             desk: opened.as_ref().map(|o| o.0.clone()),
-            sessions,
+            sessions: mqtt.as_ref().map(|m| m.0.clone()),
             drain: Some(drain),
             kill: Some(kill),
             runtime: runtime.clone(),
@@ -196,11 +196,9 @@
             gate: gate.clone(),
         };
         start(Box::pin(gate.watch()));
-        if let Some(listener) = mqtt {
-            if let Some(front) = instance.sessions.clone() {
-                start(Box::pin(front.clone().watch(runtime.clone())));
-                start(Box::pin(front::listen(front, door.clone(), listener)));
-            }
+        if let Some((front, listener)) = mqtt {
+            start(Box::pin(front.clone().watch(runtime.clone())));
+            start(Box::pin(front::listen(front, door.clone(), listener)));
         }
         start(Box::pin(front::listen(Grpc, door, listener)));
         tracing::info!(ingress = fleet.me, grpc = %instance.grpc, "started");
--- a/crates/ledger/src/book.rs
+++ b/crates/ledger/src/book.rs
@@ -589,6 +589,11 @@
         self.lives.iter().filter(|l| !l.1.have.is_empty()).map(|(k, v)| (*k, v.have.as_slice()))
     }
 
+    /// The same as ranges.
+    pub fn ranges(&self) -> Vec<Range> {
+        self.have().flat_map(|(life, spans)| of_life(life, spans)).collect()
+    }
+
     /// The numbers of an incarnation that are in.
     pub fn spans(&self, ingress: u16, incarnation: u64) -> &[Span] {
         self.lives.get(&(ingress, incarnation)).map(|l| l.have.as_slice()).unwrap_or_default()
--- a/crates/ledger/src/export.rs
+++ b/crates/ledger/src/export.rs
@@ -155,11 +155,7 @@
                 line.billed = open;
             }
         }
-        let basis = book.have().flat_map(|((ingress, incarnation), spans)| {
-            let ingress = u32::from(ingress);
-            spans.iter().map(move |(from, to)| Range { ingress, incarnation, from: *from, to: *to })
-        });
-        let basis = basis.collect();
+        let basis = book.ranges();
         // At once again: written, it is to be handed over.
         state.next = now;
         Some(Step::Write(Batch { stream, number: done + 1, lines, basis, until }))
--- a/crates/ledger/tests/fleet.rs
+++ b/crates/ledger/tests/fleet.rs
@@ -4,7 +4,7 @@
 
 use chalkgap_ledger::book::{Book, Taken};
 use chalkgap_ledger::clerk::{Clerk, Fate, Promise, Recovery, Rules, Ticket, Truth};
-use chalkgap_ledger::entry::{Batch, Entry, Open, Range, What};
+use chalkgap_ledger::entry::{Batch, Entry, Open, What};
 use chalkgap_ledger::export::{Exporter, Rules as ExportRules, Step, Word};
 use chalkgap_ledger::reconcile::{Ask, Reconciler, Rules as FetchRules};
 use chalkgap_ledger::{store, Periods};
@@ -111,17 +111,6 @@
     cut: Option<u16>,
 }
 
-fn ranges(book: &Book) -> Vec<Range> {
-    let range = |((ingress, incarnation), spans): ((u16, u64), &[(u64, u64)])| {
-        let ingress = u32::from(ingress);
-        spans
-            .iter()
-            .map(move |(from, to)| Range { ingress, incarnation, from: *from, to: *to })
-            .collect::<Vec<_>>()
-    };
-    book.have().flat_map(range).collect()
-}
-
 impl World {
     fn new(seed: u64) -> World {
         let mut rng = SmallRng::seed_from_u64(seed);
@@ -213,7 +202,7 @@
                 continue;
             };
             match ask {
-                Ask::Have => r.have(&ranges(&other.book), i.clerk.written()).expect("an honest fleet"),
+                Ask::Have => r.have(&other.book.ranges(), i.clerk.written()).expect("an honest fleet"),
                 Ask::Fetch(list) => {
                     let wanted = |e: &&Entry| {
                         list.iter().any(|r| {
--- a/crates/standin/src/client.rs
+++ b/crates/standin/src/client.rs
@@ -33,6 +33,21 @@
     pub timeout: Micros,
 }
 
+impl Ask {
+    /// What the journal has of it when it is sent.
+    pub(crate) fn seen(&self, ingress: u16, now: Micros) -> Seen {
+        Seen::Asked {
+            call: self.call,
+            ingress,
+            account: self.account.clone(),
+            class: self.class.clone(),
+            units: self.units,
+            key: self.key.clone(),
+            deadline: now + self.timeout,
+        }
+    }
+}
+
 /// How a call ended, and what came along.
 #[derive(Clone, Debug)]
 pub struct Outcome {
@@ -98,16 +113,7 @@
         let request = RateLimitRequest { domain: "chalkgap".into(), descriptors, hits_addend: ask.units };
         let now = self.runtime.now();
         let (sender, receiver) = async_channel::bounded(1);
-        let asked = Seen::Asked {
-            call: ask.call,
-            ingress: self.ingress,
-            account: ask.account.clone(),
-            class: ask.class.clone(),
-            units: ask.units,
-            key: ask.key.clone(),
-            deadline: now + ask.timeout,
-        };
-        self.journal.note(now, asked);
+        self.journal.note(now, ask.seen(self.ingress, now));
         let sent = self.commands.send(Command::Start(grpc::frame(&request), now + ask.timeout, sender)).await;
         let end = match sent {
             Ok(()) => receiver.recv().await.unwrap_or_else(|_| outcome(journal::Answer::Broken)),
--- a/crates/standin/src/mqtt.rs
+++ b/crates/standin/src/mqtt.rs
@@ -117,16 +117,7 @@
         let topic = format!("requests/{}/{}", ask.account, ask.class);
         let publish = Publish { qos, topic, properties: Properties(list), ..Publish::default() };
         let now = self.runtime.now();
-        let asked = Seen::Asked {
-            call: ask.call,
-            ingress: self.ingress,
-            account: ask.account.clone(),
-            class: ask.class.clone(),
-            units: ask.units,
-            key: ask.key.clone(),
-            deadline: now + ask.timeout,
-        };
-        self.journal.note(now, asked);
+        self.journal.note(now, ask.seen(self.ingress, now));
         let (reply, answer) = async_channel::bounded(1);
         let command = Command { publish, until: now + ask.timeout, reply };
         let answer = match self.commands.send(command).await {
--- a/crates/wire/src/mqtt/codec.rs
+++ b/crates/wire/src/mqtt/codec.rs
@@ -366,6 +366,8 @@
 
 /// Puts a packet into bytes, as a connection of this version has it.
 pub fn encode(packet: &Packet, version: Version, out: &mut BytesMut) {
+    // CONNECT says its own.
+    let version = if let Packet::Connect(c) = packet { c.version } else { version };
     let v5 = version == Version::V5;
     let mut body = BytesMut::new();
     let b = &mut body;
@@ -376,12 +378,6 @@
     };
     let first = match packet {
         Packet::Connect(c) => {
-            let v5 = c.version == Version::V5;
-            let with = |b: &mut BytesMut, p: &Properties| {
-                if v5 {
-                    p.write(b);
-                }
-            };
             put_text(b, "MQTT");
             b.put_u8(if v5 { 5 } else { 4 });
             let mut flags = u8::from(c.clean_start) << 1;
