--- a/crates/gateway/src/front/mqtt.rs
+++ b/crates/gateway/src/front/mqtt.rs
@@ -4,6 +4,7 @@
 use super::{Bad, Demand, Door, Front, WORD};
 use crate::driver::{Answer, Ask, Input, Reply};
 use crate::gate::Pass;
+use crate::ledger::lock;
 use crate::settings::{self, Part};
 use crate::telemetry::add;
 use argon2::password_hash::phc::PasswordHash;
@@ -20,7 +21,7 @@
 use futures_lite::future;
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::sync::atomic::Ordering;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex};
 
 /// User properties that the front reads itself.
 const UNITS: &str = "units";
@@ -41,10 +42,6 @@
 /// How long the last connection of a session may take to give it up, in microseconds.
 const HAND_OVER: Micros = 2_000_000;
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 /// The MQTT front.
 #[derive(Clone)]
 pub(crate) struct Mqtt {
--- a/crates/gateway/src/ledger/mod.rs
+++ b/crates/gateway/src/ledger/mod.rs
@@ -65,7 +65,7 @@
     current: AtomicU64,
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     // Who panicked with it held has taken whole steps all the same.
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/crates/ledger/src/store.rs
+++ b/crates/ledger/src/store.rs
@@ -181,8 +181,8 @@
     Ok(names.iter().filter(|n| n.ends_with(".seg") && **n > last).map(|n| folder.join(n)).collect())
 }
 
-/// Reads all segments of a folder in order, those that a snapshot stands for aside, one at a time, each scan with its file and whether it is the last one.
-/// Nothing is changed.
+/// Reads all segments of a folder in order, those that a snapshot stands for aside, one at a time: each scan with its file
+/// and whether it is the last one. Nothing is changed.
 ///
 /// # Errors
 /// The disk's. Damage is in the scans.
@@ -192,6 +192,15 @@
     mut each: impl FnMut(&Path, Scan, bool),
 ) -> Result<(), StoreError> {
     let snapshot = snapshot(runtime, folder).await?;
+    read_after(runtime, folder, snapshot.as_ref(), &mut each).await
+}
+
+async fn read_after(
+    runtime: &Shared,
+    folder: &Path,
+    snapshot: Option<&Snapshot>,
+    mut each: impl FnMut(&Path, Scan, bool),
+) -> Result<(), StoreError> {
     let (mut chain, after) = snapshot.map_or((BEGINNING, 0), |s| (s.chain, s.number));
     let paths = segments(runtime, folder, after).await?;
     for (n, path) in paths.iter().enumerate() {
@@ -246,9 +255,9 @@
         let lock = runtime.files().append(&lock, 0).await.map_err(failed(&lock))?;
         let (mut index, mut last, mut bad) = (Index::default(), None, None);
         let snapshot = snapshot(&runtime, folder).await?;
-        let (after, chain) = snapshot.map_or((0, BEGINNING), |s| (s.number, s.chain));
+        let (after, chain) = snapshot.as_ref().map_or((0, BEGINNING), |s| (s.number, s.chain));
         let mut expected = after;
-        read(&runtime, folder, |file, scan, is_last| {
+        read_after(&runtime, folder, snapshot.as_ref(), |file, scan, is_last| {
             if bad.is_some() {
                 return;
             }
--- a/crates/standin/src/billing.rs
+++ b/crates/standin/src/billing.rs
@@ -1,6 +1,7 @@
 //! A stand-in billing consumer: sequences of numbered batches, each number taken once, with faults on command. What it
 //! has outlives its process.
 
+use crate::node::lock;
 use async_channel::Sender;
 use bytes::Bytes;
 use chalkgap_pipe::unary::{self, Handler, Limits};
@@ -14,7 +15,7 @@
 use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex};
 
 /// What is wrong with it; shares are of calls.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -29,10 +30,6 @@
 #[derive(Clone, Debug, Default)]
 pub struct Vault(Arc<Mutex<BTreeMap<String, Vec<Bytes>>>>);
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 impl Vault {
     /// All that it has.
     pub fn batches(&self) -> BTreeMap<String, Vec<Bytes>> {
--- a/crates/standin/src/node.rs
+++ b/crates/standin/src/node.rs
@@ -188,7 +188,7 @@
     pub tail_cost: f64,
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
