--- a/crates/admission/src/decide.rs
+++ b/crates/admission/src/decide.rs
@@ -36,6 +36,17 @@
     pub remembered: usize,
     /// Refusals a second that get a word; more are closed without one.
     pub words_per_s: f64,
+    /// Who is closed for a newcomer where there is no room, whatever its standing; none: nobody.
+    pub gives_way: Option<GivesWay>,
+}
+
+/// Connections that nobody misses, for fleets whose clients all come by one front and cannot be told apart by address.
+#[derive(Clone, Copy, Debug)]
+pub struct GivesWay {
+    /// Ones that have not asked anything for so long after they were let in.
+    pub silent: Micros,
+    /// Ones without an open request for so long.
+    pub idle: Micros,
 }
 
 /// Why a connection is refused.
@@ -137,6 +148,8 @@
     /// Connections by standing, and the idle ones of each in the order in which they fell idle.
     count: [u64; 4],
     idle: [BTreeSet<(Micros, ConnId)>; 4],
+    /// Those that have not asked anything, by when they were let in.
+    silent: BTreeSet<(Micros, ConnId)>,
     shaking: u32,
     leaving: u64,
     words: f64,
@@ -162,6 +175,7 @@
             prefixes: BTreeMap::new(),
             count: [0; 4],
             idle: Default::default(),
+            silent: BTreeSet::new(),
             shaking: 0,
             leaving: 0,
             words_at: 0,
@@ -298,6 +312,11 @@
                 Err((Reason::Full, PAUSE))
             };
         }
+        if self.open() < self.budget.clients + self.budget.spare && self.leaving < self.budget.spare {
+            if let Some(victim) = self.nobody_misses(now) {
+                return Ok(Some(victim));
+            }
+        }
         // Known clients may use the whole room but that kept above them: idle ones below them make place.
         if !known
             || self.open() >= self.budget.clients + self.budget.spare
@@ -310,6 +329,15 @@
         victim.map(Some).ok_or((Reason::Full, PAUSE))
     }
 
+    /// The connection that gives way, if one has been silent or idle for long enough: the one that was longest.
+    fn nobody_misses(&self, now: Micros) -> Option<ConnId> {
+        let way = self.caps.gives_way?;
+        let since = |c: &&(Micros, ConnId), span: Micros| c.0.saturating_add(span) <= now;
+        let silent = self.silent.first().filter(|c| since(c, way.silent));
+        let idle = || self.idle.iter().filter_map(BTreeSet::first).filter(|c| since(c, way.idle)).min();
+        silent.or_else(idle).map(|c| c.1)
+    }
+
     fn enter(&mut self, now: Micros, id: ConnId, address: IpAddr, standing: Standing) {
         let p = self.places.entry(address).or_default();
         if p.open == 0 {
@@ -323,6 +351,7 @@
         }
         self.count[standing as usize] += 1;
         self.idle[standing as usize].insert((now, id));
+        self.silent.insert((now, id));
         let conn = Conn { address, standing, shaking: true, busy: 0, since: now, leaving: false };
         self.conns.insert(id, conn);
     }
@@ -333,6 +362,7 @@
         c.leaving = true;
         self.leaving += 1;
         self.idle[c.standing as usize].remove(&(c.since, id));
+        self.silent.remove(&(c.since, id));
     }
 
     /// One that was to be evicted has a request after all, and stays.
@@ -352,6 +382,7 @@
         let Some(c) = self.conns.get_mut(&id).filter(|c| c.shaking) else { return };
         c.shaking = false;
         self.shaking -= 1;
+        self.silent.remove(&(c.since, id));
         if let Some(p) = self.places.get_mut(&c.address) {
             p.shaking -= 1;
         }
--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -20,7 +20,7 @@
 pub mod pulse;
 
 pub use budget::{Budget, BudgetError, Split};
-pub use decide::{Admission, Caps, ConnId, Offer, Reason, Standing};
+pub use decide::{Admission, Caps, ConnId, GivesWay, Offer, Reason, Standing};
 pub use known::{Block, Known};
 
 /// A span of time, or a time, in microseconds.
--- a/crates/admission/tests/decider.rs
+++ b/crates/admission/tests/decider.rs
@@ -19,6 +19,7 @@
         preferred: 0.1,
         remembered: 100,
         words_per_s: 10.0,
+        gives_way: None,
     }
 }
 
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -2,6 +2,7 @@
 
 mod drill;
 mod ledger;
+mod platform;
 mod serve;
 mod tools;
 
@@ -49,6 +50,8 @@
 enum Command {
     /// Run an ingress. The first SIGTERM or SIGINT drains it, the second stops it.
     Serve(serve::Serve),
+    /// Run an ingress on the users' platform, configured by RELAY_CONFIG. SIGHUP reads it again, SIGTERM drains.
+    Platform,
     /// Check a settings file.
     Check {
         /// The settings, a Starlark script that binds `settings`.
@@ -100,6 +103,7 @@
     }
     let exit = match args.command {
         Command::Serve(a) => serve::run(a),
+        Command::Platform => platform::run(),
         Command::Check { file, given } => match serve::read(&file, &given) {
             Ok(settings) => {
                 let (classes, plans) = (settings.classes.len(), settings.plans.len());
--- /dev/null
+++ b/crates/cli/src/platform.rs
@@ -0,0 +1,49 @@
+//! `platform`: an ingress on the users' platform. Configuration by the environment, signals; the rest is the library.
+
+use crate::{fail, Exit};
+use async_signal::{Signal, Signals};
+use chalkgap::runtime::system::System;
+use chalkgap_platform::{Config, Ingress};
+use futures_lite::{future, StreamExt};
+
+pub(crate) fn run() -> Exit {
+    let system = System::new();
+    system.clone().run(async move {
+        // Before anything else: a signal in between would end the process unasked.
+        let mut signals = match Signals::new([Signal::Term, Signal::Int, Signal::Hup]) {
+            Ok(signals) => signals,
+            Err(e) => return fail(Exit::System, format!("signals: {e}")),
+        };
+        let config = match Config::from_env() {
+            Ok(config) => config,
+            Err(e) => return fail(Exit::Settings, e),
+        };
+        let mut ingress = match Ingress::start(config, system.clone()).await {
+            Ok(ingress) => ingress,
+            Err(e) => return fail(Exit::System, e),
+        };
+        loop {
+            match signals.next().await {
+                Some(Ok(Signal::Hup)) => match Config::from_env() {
+                    Ok(config) => ingress.reload(&config),
+                    Err(e) => tracing::error!(error = %e, "new configuration not taken, the old one stays"),
+                },
+                Some(Ok(_)) | None => break,
+                Some(Err(e)) => tracing::error!(error = %e, "a signal was lost"),
+            }
+        }
+        tracing::info!("draining");
+        let drained = async {
+            ingress.drain().await;
+            true
+        };
+        let second = async {
+            while let Some(Ok(Signal::Hup)) = signals.next().await {}
+            false
+        };
+        let whole = future::or(drained, second).await;
+        let counts = serde_json::to_string(&ingress.counts()).unwrap_or_default();
+        tracing::info!(whole, counts, "stopped");
+        Exit::Good
+    })
+}
--- a/crates/gateway/src/driver.rs
+++ b/crates/gateway/src/driver.rs
@@ -8,16 +8,16 @@
 use crate::nodes::{Book, NodeList};
 use crate::settings::{Compiled, Customer};
 use crate::telemetry::{add, Telemetry};
-use crate::upstream::{self, Command, Links};
+use crate::upstream::{Links, Work};
 use async_channel::{Receiver, Sender};
 use bytes::Bytes;
 use chalkgap_core::{
-    Action, BackendId, Event, Gateway, GatewayNo, Outcome, Report, Request, RequestId, RosterKind,
+    Action, Availability, BackendId, Event, Gateway, GatewayNo, Listed, Outcome, Report, Request, RequestId,
+    RosterKind,
 };
 use chalkgap_ledger::clerk::{Fate, Promise, Ticket};
 use chalkgap_ledger::entry::Open;
 use chalkgap_runtime::{Alarm, Micros, Shared};
-use chalkgap_wire::orca::Load;
 use futures_lite::{future, Stream as _};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap, VecDeque};
@@ -29,41 +29,56 @@
 /// Inputs read before timers are looked at again.
 const BATCH: usize = 256;
 
-/// A client's request, as a front hands it over.
-pub(crate) struct Ask {
+/// A client's request, as a front hands it over. Its work is opaque to the driver: only the way out reads it.
+pub struct Ask<W = Work> {
+    /// Never used twice by an instance.
     pub id: RequestId,
+    /// Index of its class.
     pub class: u8,
+    /// The name that the ledger keeps it under.
     pub account: String,
+    /// Whose it is.
     pub customer: Customer,
+    /// What it draws from the quota.
     pub units: f64,
+    /// When its client abandons it.
     pub deadline: Micros,
-    /// The framed message for nodes.
-    pub work: Bytes,
-    /// What nodes drop repeats by.
-    pub key: Option<Bytes>,
+    /// For nodes.
+    pub work: W,
+    /// Where its answer goes. The front bounds its asks by the room of this channel.
     pub reply: Sender<Reply>,
     /// The front's name for it.
     pub token: u32,
 }
 
 /// The one thing that a front hears of each ask.
-pub(crate) struct Reply {
+pub struct Reply {
+    /// The front's name for it.
     pub token: u32,
+    /// The request.
     pub id: RequestId,
+    /// What became of it.
     pub answer: Answer,
 }
 
 /// A final answer.
 #[derive(Debug)]
-pub(crate) enum Answer {
+pub enum Answer {
+    /// A node's answer.
     Served {
+        /// What it gave.
         body: Bytes,
+        /// Which one.
         node: SocketAddr,
     },
+    /// Trying again is harmless.
     Refused {
+        /// How long to keep away; 0: no advice.
         pause: Micros,
     },
+    /// It may have run.
     Failed {
+        /// Its time was over.
         late: bool,
     },
     /// None: the client left.
@@ -72,12 +87,19 @@
 
 /// How an attempt ended, as its connection saw it.
 #[derive(Debug)]
-pub(crate) struct Ended {
+pub struct Ended {
+    /// The request.
     pub id: RequestId,
+    /// The number of its attempt.
     pub attempt: u16,
+    /// How it ended.
     pub outcome: Outcome,
+    /// The answer, with [`Outcome::Ok`].
     pub body: Bytes,
-    pub load: Option<Load>,
+    /// The node's load, as it says.
+    pub report: Option<Report>,
+    /// The customer's metered use, where nodes tell it.
+    pub metered: Option<f64>,
     /// What the node says it used.
     pub units: Option<u32>,
     /// It ran nothing, as the request's key had come before.
@@ -85,28 +107,83 @@
 }
 
 impl Ended {
+    /// An attempt that brought nothing back.
     pub fn without_answer(id: RequestId, attempt: u16, outcome: Outcome) -> Self {
-        Ended { id, attempt, outcome, body: Bytes::new(), load: None, units: None, repeat: false }
+        let (body, report, metered, units, repeat) = (Bytes::new(), None, None, None, false);
+        Ended { id, attempt, outcome, body, report, metered, units, repeat }
     }
 }
 
 /// What happens to an instance.
-pub(crate) enum Input {
-    Ask(Box<Ask>),
+pub enum Input<W = Work> {
+    /// A client asks.
+    Ask(Box<Ask<W>>),
+    /// A client left.
     Gone(RequestId),
+    /// An attempt ended.
     Ended(Box<Ended>),
+    /// A connection to a node has ended while no attempt was out on it.
+    LinkClosed(u64),
+    /// A message of a peer.
     Peer {
+        /// The sender's number.
         from: u16,
+        /// The message.
         bytes: Vec<u8>,
     },
+    /// A whole list of nodes.
     Nodes {
+        /// The list.
         list: Box<NodeList>,
+        /// It was kept from an earlier life.
         cached: bool,
     },
+    /// A list, or changes to it, already in the module's words.
+    Roster {
+        /// How to read it.
+        kind: RosterKind,
+        /// Its lines, with where each node listens.
+        lines: Vec<(Listed, SocketAddr)>,
+    },
     /// The ledger's disk has more, or has failed.
     Durable,
 }
 
+/// An attempt to be made.
+pub struct Call<W = Work> {
+    /// The request.
+    pub id: RequestId,
+    /// The number of the attempt.
+    pub attempt: u16,
+    /// Index of the class.
+    pub class: u8,
+    /// What the front handed over.
+    pub work: W,
+    /// When the request's entry in the ledger was written.
+    pub entered: Option<Micros>,
+    /// When the attempt is given up.
+    pub until: Micros,
+}
+
+/// A way out: connections to nodes in some protocol. What is started ends with [`Input::Ended`], and the driver ends it
+/// by its own clock whatever the connection says. An implementation's counts bound what it is handed.
+pub trait Upstream: Send {
+    /// What a front hands over for nodes.
+    type Work: Clone + Send + 'static;
+    /// Hands a call to a connection and gives the connection's number; none: there is no room, nothing was written.
+    fn start(&mut self, backend: BackendId, address: SocketAddr, call: Call<Self::Work>) -> Option<u64>;
+    /// An attempt is called off, or its time is up.
+    fn stop(&mut self, link: u64, id: RequestId, attempt: u16);
+    /// A call of this connection has ended.
+    fn ended(&mut self, link: u64);
+    /// The connection has ended.
+    fn closed(&mut self, _link: u64) {}
+    /// Forgets nodes that are not listed: their connections end with their last call.
+    fn retain(&mut self, listed: &dyn Fn(BackendId) -> bool);
+    /// Closes the idle connections to a node.
+    fn close_idle(&mut self, backend: BackendId);
+}
+
 struct Out {
     backend: BackendId,
     address: SocketAddr,
@@ -119,8 +196,8 @@
     doubtful: bool,
 }
 
-struct Held {
-    ask: Box<Ask>,
+struct Held<W> {
+    ask: Box<Ask<W>>,
     attempts: Vec<Out>,
     answered: bool,
     entry: Entry,
@@ -139,27 +216,47 @@
 }
 
 /// An attempt that is sent when the ledger's disk has its entry.
-struct Waiting {
+struct Waiting<W> {
     number: u64,
     attempt: u16,
-    call: upstream::Call,
+    call: Call<W>,
 }
 
-pub(crate) struct Driver {
-    pub runtime: Shared,
-    pub settings: Arc<Compiled>,
-    pub telemetry: Arc<Telemetry>,
-    pub core: Gateway,
-    pub book: Book,
-    pub links: Links,
-    pub peers: Option<Sender<(u16, Vec<u8>)>>,
-    desk: Option<Arc<Desk>>,
-    /// In the order of their numbers.
-    waiting: VecDeque<Waiting>,
+/// What the driver itself goes by.
+#[derive(Clone, Copy, Debug)]
+pub struct Figures {
+    /// How many ingresses there are.
+    pub ingresses: u16,
+    /// The number of this one.
+    pub me: u16,
+    /// Requests open at once that the module was promised.
+    pub max_open: usize,
+    /// What those beyond are told to wait.
+    pub pause: Micros,
+}
+
+/// The books that an instance with a ledger keeps.
+struct Books {
+    desk: Arc<Desk>,
+    settings: Arc<Compiled>,
     /// Sets this start's requests apart from all others, in what nodes see.
-    pub name: String,
-    input: Pin<Box<Receiver<Input>>>,
-    held: HashMap<RequestId, Held>,
+    name: String,
+}
+
+/// Owns the module; generic over the way out.
+pub struct Driver<U: Upstream = Links> {
+    runtime: Shared,
+    figures: Figures,
+    telemetry: Arc<Telemetry>,
+    core: Gateway,
+    book: Book,
+    links: U,
+    peers: Option<Sender<(u16, Vec<u8>)>>,
+    books: Option<Books>,
+    /// In the order of their numbers.
+    waiting: VecDeque<Waiting<U::Work>>,
+    input: Pin<Box<Receiver<Input<U::Work>>>>,
+    held: HashMap<RequestId, Held<U::Work>>,
     timers: BinaryHeap<Reverse<(Micros, u64, u32)>>,
     expiries: BinaryHeap<Reverse<(Micros, RequestId, u16)>>,
     set: u64,
@@ -169,31 +266,26 @@
     keep: Option<Sender<NodeList>>,
 }
 
-impl Driver {
-    #[allow(clippy::too_many_arguments)] // each is a part of an instance, handed over once
+impl<U: Upstream> Driver<U> {
+    /// A driver of `core` that reads `input`, with the least of what one may have.
     pub fn new(
         runtime: Shared,
-        settings: Arc<Compiled>,
+        figures: Figures,
         telemetry: Arc<Telemetry>,
         core: Gateway,
-        links: Links,
-        peers: Option<Sender<(u16, Vec<u8>)>>,
-        desk: Option<Arc<Desk>>,
-        name: String,
-        input: Receiver<Input>,
+        links: U,
+        input: Receiver<Input<U::Work>>,
     ) -> Self {
-        let book = Book::new(settings.zones.clone(), settings.settings.nodes.most);
         Driver {
             runtime,
-            settings,
+            figures,
             telemetry,
             core,
-            book,
+            book: Book::new(HashMap::new(), 0),
             links,
-            peers,
-            desk,
+            peers: None,
+            books: None,
             waiting: VecDeque::new(),
-            name,
             input: Box::pin(input),
             held: HashMap::new(),
             timers: BinaryHeap::new(),
@@ -206,8 +298,26 @@
         }
     }
 
+    /// Reads whole lists of nodes by this book.
+    pub(crate) fn reading(mut self, book: Book) -> Self {
+        self.book = book;
+        self
+    }
+
+    /// Hands messages for peers, by their numbers, to somebody who sends them.
+    pub fn telling(mut self, peers: Option<Sender<(u16, Vec<u8>)>>) -> Self {
+        self.peers = peers;
+        self
+    }
+
+    /// Keeps a ledger.
+    pub(crate) fn booking(mut self, desk: Option<Arc<Desk>>, settings: Arc<Compiled>, name: String) -> Self {
+        self.books = desk.map(|desk| Books { desk, settings, name });
+        self
+    }
+
     /// Hands each list that is taken to somebody who keeps it.
-    pub fn keeping(mut self, keep: Option<Sender<NodeList>>) -> Self {
+    pub(crate) fn keeping(mut self, keep: Option<Sender<NodeList>>) -> Self {
         self.keep = keep;
         self
     }
@@ -240,16 +350,18 @@
         }
     }
 
-    fn take(&mut self, input: Input) {
+    fn take(&mut self, input: Input<U::Work>) {
         match input {
             Input::Ask(ask) => self.ask(ask),
             Input::Gone(id) => self.gone(id),
             Input::Ended(ended) => self.ended(*ended),
+            Input::LinkClosed(link) => self.links.closed(link),
             Input::Peer { from, bytes } => {
                 add(&self.telemetry.peer_in);
                 self.handle(Event::Peer { from: GatewayNo(from), bytes });
             }
             Input::Nodes { list, cached } => self.nodes(&list, cached),
+            Input::Roster { kind, lines } => self.roster(kind, lines),
             Input::Durable => self.durable(),
         }
     }
@@ -260,7 +372,7 @@
             self.expiries.pop();
             let out = self.held.get(&id).and_then(|h| h.attempts.get(usize::from(attempt)));
             if let Some(out) = out.filter(|o| !o.ended) {
-                self.links.command(out.link, Command::Stop { id, attempt });
+                self.links.stop(out.link, id, attempt);
                 let outcome = if out.waiting { Outcome::Moot } else { Outcome::TimedOut };
                 add(&self.telemetry.timed_out);
                 self.ended(Ended::without_answer(id, attempt, outcome));
@@ -272,17 +384,15 @@
         }
     }
 
-    fn ask(&mut self, ask: Box<Ask>) {
+    fn ask(&mut self, ask: Box<Ask<U::Work>>) {
         add(&self.telemetry.requests);
-        let limits = &self.settings.settings.limits;
-        if self.held.len() >= limits.max_open as usize {
+        if self.held.len() >= self.figures.max_open {
             // More than the module was promised to be shown at once.
             add(&self.telemetry.refused);
-            let pause = if limits.retry_after { limits.max_retry_after_ms * 1000 } else { 0 };
-            return turn_away(&ask, pause);
+            return turn_away(&ask, self.figures.pause);
         }
         // What the ledger can promise is decided here, before the request is taken.
-        let entry = match self.desk.as_ref().map(|d| d.promise()) {
+        let entry = match self.books.as_ref().map(|b| b.desk.promise()) {
             None => Entry::Without,
             Some(Promise::Kept) => Entry::None,
             Some(Promise::Without) => {
@@ -318,7 +428,7 @@
     }
 
     fn ended(&mut self, ended: Ended) {
-        let Ended { id, attempt, outcome, body, load, units, repeat } = ended;
+        let Ended { id, attempt, outcome, body, report, metered, units, repeat } = ended;
         let Some(held) = self.held.get_mut(&id) else { return };
         let Some(out) = held.attempts.get_mut(usize::from(attempt)).filter(|o| !o.ended) else { return };
         out.ended = true;
@@ -339,15 +449,7 @@
             self.settle(id, units, Fate::Used { node: node.to_string() });
         }
         let complete = self.held.get(&id).is_some_and(|h| h.answered);
-        let report = load.map(|l| Report {
-            in_flight: l.in_flight,
-            queue: l.queue,
-            util: l.cpu_utilization.or(l.application_utilization),
-            latency_ms: l.latency_ms,
-            served: l.rps,
-            errors: l.eps,
-        });
-        let (metered, charged) = (None, None);
+        let charged = units.map(f64::from);
         self.handle(Event::Settled {
             id,
             attempt,
@@ -377,11 +479,24 @@
             // Full: the disk is slow, and the next list is the better one to keep.
             let _ = keep.force_send(list.clone());
         }
-        self.listed = lines.iter().filter_map(|l| Some((l.backend, self.book.address(l.backend)?))).collect();
+        let lines = lines.into_iter().filter_map(|l| Some((l, self.book.address(l.backend)?))).collect();
+        self.roster(if cached { RosterKind::Cached } else { RosterKind::Full }, lines);
+    }
+
+    fn roster(&mut self, kind: RosterKind, lines: Vec<(Listed, SocketAddr)>) {
+        if matches!(kind, RosterKind::Full | RosterKind::Cached) {
+            self.listed.clear();
+        }
+        for (line, address) in &lines {
+            if line.availability == Availability::Gone {
+                self.listed.remove(&line.backend);
+            } else {
+                self.listed.insert(line.backend, *address);
+            }
+        }
         let listed = &self.listed;
-        self.links.retain(|id| listed.contains_key(&id));
-        let kind = if cached { RosterKind::Cached } else { RosterKind::Full };
-        self.handle(Event::Roster(kind, lines));
+        self.links.retain(&|id| listed.contains_key(&id));
+        self.handle(Event::Roster(kind, lines.into_iter().map(|l| l.0).collect()));
     }
 
     /// Hands an event to the module and carries out its actions, and what comes of those at once.
@@ -423,7 +538,7 @@
                     self.moot(id, attempt);
                     return self.forget(id);
                 }
-                self.links.command(out.link, Command::Stop { id, attempt });
+                self.links.stop(out.link, id, attempt);
             }
             Action::SetTimer { delay, token } => {
                 self.set += 1;
@@ -431,7 +546,7 @@
             }
             Action::Tell { to, bytes } => {
                 let Some(peers) = &self.peers else { return };
-                let (all, me) = (0..self.settings.settings.fleet.ingresses, self.settings.settings.fleet.me);
+                let (all, me) = (0..self.figures.ingresses, self.figures.me);
                 let to = to.map_or(all, |one| one.0..one.0 + 1);
                 for no in to.filter(|no| *no != me) {
                     // A full queue loses it, as the network may: the module reckons with that.
@@ -449,20 +564,12 @@
 
     fn send(&mut self, id: RequestId, backend: BackendId, expires: Micros) {
         let now = self.runtime.now();
-        let (address, request) = (self.listed.get(&backend).copied(), self.request_name(id));
+        let address = self.listed.get(&backend).copied();
         let Some(held) = self.held.get_mut(&id) else { return };
         let attempt = held.attempts.len() as u16;
         let until = if expires == 0 { held.ask.deadline } else { expires.min(held.ask.deadline) };
-        let call = upstream::Call {
-            id,
-            attempt,
-            class: held.ask.class,
-            work: held.ask.work.clone(),
-            key: held.ask.key.clone(),
-            request,
-            entered: None,
-            until,
-        };
+        let (class, work) = (held.ask.class, held.ask.work.clone());
+        let call = Call { id, attempt, class, work, entered: None, until };
         add(&self.telemetry.attempts);
         held.attempts.push(Out {
             backend,
@@ -493,16 +600,12 @@
         self.held.get_mut(&id)?.attempts.get_mut(usize::from(attempt))
     }
 
-    /// What nodes see a request as.
-    fn request_name(&self, id: RequestId) -> String {
-        format!("{}-{}", self.name, id.0)
-    }
-
     /// Writes down that an attempt is about to be made.
-    fn write(&mut self, call: &upstream::Call) -> Written {
-        let (Some(desk), Some(held)) = (&self.desk, self.held.get_mut(&call.id)) else {
+    fn write(&mut self, call: &Call<U::Work>) -> Written {
+        let (Some(books), Some(held)) = (&self.books, self.held.get_mut(&call.id)) else {
             return Written::Without;
         };
+        let desk = &books.desk;
         let node =
             held.attempts.get(usize::from(call.attempt)).map_or_else(String::new, |o| o.address.to_string());
         let number = match &held.entry {
@@ -511,7 +614,7 @@
             // Settled: one more attempt for a request that has been answered; its use is counted.
             Entry::Settled => return Written::Without,
             Entry::None => {
-                let ticket = desk.open_entry(open(&self.settings, &held.ask, call.request.clone(), node));
+                let ticket = desk.open_entry(books.open(&held.ask, node));
                 if let Some(ticket) = ticket {
                     held.entry = Entry::Open(ticket);
                 }
@@ -529,7 +632,7 @@
     }
 
     /// Hands an attempt to a connection.
-    fn start(&mut self, mut call: upstream::Call) {
+    fn start(&mut self, mut call: Call<U::Work>) {
         let (id, attempt, now) = (call.id, call.attempt, self.runtime.now());
         let Some(held) = self.held.get_mut(&id) else { return };
         if let Entry::Open(ticket) = held.entry {
@@ -559,7 +662,7 @@
 
     /// The ledger's disk has more entries, or has failed: what waited for it goes out, or never does.
     fn durable(&mut self) {
-        let Some(desk) = self.desk.clone() else { return };
+        let Some(desk) = self.books.as_ref().map(|b| b.desk.clone()) else { return };
         let durable = desk.durable();
         let without = durable.is_none() && desk.promise() == Promise::Without;
         while let Some(first) = self.waiting.front() {
@@ -608,9 +711,8 @@
             let fate = if nodes.is_empty() {
                 Fate::Never
             } else {
-                let request = self.request_name(id);
-                let open = open(&self.settings, &held.ask, request, String::new());
-                Fate::Doubtful { nodes, open: Box::new(open) }
+                let Some(books) = &self.books else { return };
+                Fate::Doubtful { nodes, open: Box::new(books.open(&held.ask, String::new())) }
             };
             self.settle(id, None, fate);
         }
@@ -619,18 +721,18 @@
 
     /// Writes down the end of a request, once.
     fn settle(&mut self, id: RequestId, units: Option<u32>, fate: Fate) {
-        let (Some(desk), Some(held)) = (&self.desk, self.held.get_mut(&id)) else { return };
+        let (Some(books), Some(held)) = (&self.books, self.held.get_mut(&id)) else { return };
         if let Entry::Open(ticket) = held.entry {
             held.entry = Entry::Settled;
             // A node may say that it was less than was asked for, and admitted; never that it was more.
             let asked = held.ask.units as u64;
-            desk.end(ticket, units.map_or(asked, |u| asked.min(u.into())), fate);
+            books.desk.end(ticket, units.map_or(asked, |u| asked.min(u.into())), fate);
         }
     }
 }
 
 /// Answers an ask that is not taken.
-fn turn_away(ask: &Ask, pause: Micros) {
+fn turn_away<W>(ask: &Ask<W>, pause: Micros) {
     let answer = Answer::Refused { pause };
     let _ = ask.reply.try_send(Reply { token: ask.token, id: ask.id, answer }); // closed: the client is gone
 }
@@ -645,15 +747,22 @@
     Failed,
 }
 
-fn open(settings: &Compiled, ask: &Ask, request: String, node: String) -> Open {
-    let settings = &settings.settings;
-    let name = |n: Option<&String>| n.cloned().unwrap_or_default();
-    Open {
-        account: ask.account.clone(),
-        plan: name(settings.plans.get(usize::from(ask.customer.plan)).map(|p| &p.name)),
-        class: name(settings.classes.get(usize::from(ask.class)).map(|c| &c.name)),
-        units: ask.units as u64,
-        request,
-        node,
+impl Books {
+    fn open<W>(&self, ask: &Ask<W>, node: String) -> Open {
+        let settings = &self.settings.settings;
+        let name = |n: Option<&String>| n.cloned().unwrap_or_default();
+        Open {
+            account: ask.account.clone(),
+            plan: name(settings.plans.get(usize::from(ask.customer.plan)).map(|p| &p.name)),
+            class: name(settings.classes.get(usize::from(ask.class)).map(|c| &c.name)),
+            units: ask.units as u64,
+            request: request_name(&self.name, ask.id),
+            node,
+        }
     }
 }
+
+/// What nodes see a request of a start's name as.
+pub(crate) fn request_name(name: &str, id: RequestId) -> String {
+    format!("{name}-{}", id.0)
+}
--- a/crates/gateway/src/front/grpc.rs
+++ b/crates/gateway/src/front/grpc.rs
@@ -29,6 +29,8 @@
 pub(crate) struct Grpc;
 
 impl Front for Grpc {
+    type Door = Door;
+
     fn serve(&self, door: Door, stream: Box<dyn Stream>, pass: Pass) -> BoxFuture<'static, ()> {
         Box::pin(serve(door, stream, pass))
     }
--- a/crates/gateway/src/front/mod.rs
+++ b/crates/gateway/src/front/mod.rs
@@ -9,6 +9,7 @@
 use crate::gate::{Gate, Pass, Refusal};
 use crate::settings::{Compiled, KeyRule};
 use crate::telemetry::{add, Telemetry};
+use crate::upstream;
 use async_channel::{Receiver, Sender};
 use bytes::Bytes;
 use chalkgap_core::RequestId;
@@ -22,26 +23,25 @@
 use std::sync::Arc;
 
 /// A protocol that clients speak. Each of its connections is a task that has a [`Pass`].
-pub(crate) trait Front: Clone + Send + Sync + 'static {
+pub trait Front: Clone + Send + Sync + 'static {
+    /// What all its connections share.
+    type Door: Clone + Send + Sync + 'static;
     /// Serves one connection to its end, or to that of the drain.
-    fn serve(&self, door: Door, stream: Box<dyn Stream>, pass: Pass) -> BoxFuture<'static, ()>;
+    fn serve(&self, door: Self::Door, stream: Box<dyn Stream>, pass: Pass) -> BoxFuture<'static, ()>;
     /// Tells a client that there is no room, and when to come back.
     fn refuse(&self, runtime: Shared, stream: Box<dyn Stream>, pause: Micros) -> BoxFuture<'static, ()>;
 }
 
-/// What all connections of all fronts share.
+/// Where connections of any protocol arrive.
 #[derive(Clone)]
-pub(crate) struct Door {
+pub struct Entrance {
+    /// The world.
     pub runtime: Shared,
-    pub settings: Arc<Compiled>,
+    /// What is counted.
     pub telemetry: Arc<Telemetry>,
-    pub driver: Sender<Input>,
-    /// The next request's number.
-    pub ids: Arc<AtomicU64>,
-    /// Sets this start's own keys apart from all others.
-    pub name: String,
-    /// Its other end is dropped to begin the drain, and to stop at once.
+    /// Its other end is dropped to begin the drain.
     pub drain: Receiver<()>,
+    /// Its other end is dropped to stop at once.
     pub kill: Receiver<()>,
     /// Connections that are open.
     pub open: Arc<AtomicUsize>,
@@ -49,6 +49,25 @@
     pub gate: Arc<Gate>,
 }
 
+/// What all connections of the gRPC and MQTT fronts share.
+#[derive(Clone)]
+pub struct Door {
+    pub(crate) entrance: Entrance,
+    pub(crate) settings: Arc<Compiled>,
+    pub(crate) driver: Sender<Input>,
+    /// The next request's number.
+    pub(crate) ids: Arc<AtomicU64>,
+    /// Sets this start's own keys apart from all others.
+    pub(crate) name: String,
+}
+
+impl std::ops::Deref for Door {
+    type Target = Entrance;
+    fn deref(&self) -> &Entrance {
+        &self.entrance
+    }
+}
+
 /// What a client wants, whatever it speaks.
 pub(crate) struct Demand {
     pub account: String,
@@ -81,10 +100,10 @@
 pub(crate) const WORD: Micros = 200_000;
 
 /// Takes connections until the drain begins.
-pub(crate) async fn listen(front: impl Front, door: Door, listener: Box<dyn Listener>) {
+pub async fn listen<F: Front>(front: F, door: F::Door, at: Entrance, listener: Box<dyn Listener>) {
     loop {
         let drained = async {
-            let _ = door.drain.recv().await;
+            let _ = at.drain.recv().await;
             None
         };
         let Some(arrived) = future::or(drained, async { Some(listener.accept().await) }).await else {
@@ -94,28 +113,28 @@
             Ok(stream) => stream,
             Err(e) => {
                 // Out of descriptors or memory: at once it would fail again and again.
-                door.runtime.sleep_until(door.gate.accept_failed(&e)).await;
+                at.runtime.sleep_until(at.gate.accept_failed(&e)).await;
                 continue;
             }
         };
-        match door.gate.offer(stream.peer().ip()) {
+        match at.gate.offer(stream.peer().ip()) {
             Ok(pass) => {
-                add(&door.telemetry.connections);
-                door.open.fetch_add(1, Ordering::Relaxed);
-                let open = door.open.clone();
-                door.spawn(front.serve(door.clone(), stream, pass), move || {
+                add(&at.telemetry.connections);
+                at.open.fetch_add(1, Ordering::Relaxed);
+                let open = at.open.clone();
+                at.spawn(front.serve(door.clone(), stream, pass), move || {
                     open.fetch_sub(1, Ordering::Relaxed);
                 });
             }
             Err(Refusal { word: Some(word), pause }) => {
-                door.spawn(front.refuse(door.runtime.clone(), stream, pause), move || drop(word));
+                at.spawn(front.refuse(at.runtime.clone(), stream, pause), move || drop(word));
             }
             Err(_) => drop(stream), // closed at once rather than left hanging
         }
     }
 }
 
-impl Door {
+impl Entrance {
     fn spawn(
         &self,
         task: impl std::future::Future<Output = ()> + Send + 'static,
@@ -128,7 +147,9 @@
         };
         self.runtime.spawn(Box::pin(task)).detach();
     }
+}
 
+impl Door {
     /// Makes a request out of what a client said.
     pub fn ask(&self, id: RequestId, demand: Demand, token: u32, reply: Sender<Reply>) -> Result<Ask, Bad> {
         let Demand { account, class, key, units, arrived, timeout, entries, payload } = demand;
@@ -157,8 +178,8 @@
         });
         let wait = timeout.unwrap_or(u64::MAX).min(rule.deadline_ms * 1000);
         let deadline = (arrived.saturating_add(wait)).saturating_sub(front.answer_margin_ms * 1000);
-        let work = framing::frame(&Work { account: account.clone(), units, entries, payload });
-        let units = f64::from(units);
-        Ok(Ask { id, class: class_no, account, customer, units, deadline, work, key, reply, token })
+        let body = framing::frame(&Work { account: account.clone(), units, entries, payload });
+        let (units, work) = (f64::from(units), upstream::Work { body, key });
+        Ok(Ask { id, class: class_no, account, customer, units, deadline, work, reply, token })
     }
 }
--- a/crates/gateway/src/front/mqtt.rs
+++ b/crates/gateway/src/front/mqtt.rs
@@ -205,6 +205,8 @@
 }
 
 impl Front for Mqtt {
+    type Door = Door;
+
     fn serve(&self, door: Door, stream: Box<dyn Stream>, pass: Pass) -> BoxFuture<'static, ()> {
         Box::pin(serve(self.shared.clone(), door, stream, pass))
     }
--- a/crates/gateway/src/gate.rs
+++ b/crates/gateway/src/gate.rs
@@ -1,13 +1,13 @@
 //! Connection admission, wired: one decider for all fronts of an instance. A front asks for a [`Pass`] for each
 //! connection and tells what happens on it; dropped, the pass says that the connection is gone.
 
-use crate::settings::{Compiled, SettingsError};
+use crate::settings::Compiled;
 use crate::telemetry::{add, Telemetry};
 use async_channel::{Receiver, Sender};
 use chalkgap_admission::known::Places;
 use chalkgap_admission::pace::Pace;
 use chalkgap_admission::pulse::Pulse;
-use chalkgap_admission::{Admission, Budget, Caps, ConnId, Known, Offer, Reason, Split};
+use chalkgap_admission::{Admission, Block, Budget, BudgetError, Caps, ConnId, Known, Offer, Reason, Split};
 use chalkgap_runtime::{Micros, Shared};
 use std::collections::HashMap;
 use std::net::IpAddr;
@@ -35,19 +35,20 @@
 }
 
 /// The one gate of an instance.
-pub(crate) struct Gate {
+pub struct Gate {
     runtime: Shared,
     telemetry: Arc<Telemetry>,
     state: Mutex<State>,
     split: Split,
+    most: u64,
     limit: AtomicU64,
     refusing: AtomicU64,
     snapshot: Option<PathBuf>,
-    pub pace: Pace,
+    pace: Pace,
 }
 
 /// A connection that was let in.
-pub(crate) struct Pass {
+pub struct Pass {
     gate: Arc<Gate>,
     id: ConnId,
     /// Its other end is dropped when the connection is to go, or the drain begins.
@@ -55,14 +56,15 @@
 }
 
 /// A connection that was not.
-pub(crate) struct Refusal {
+pub struct Refusal {
+    /// When to come back.
     pub pause: Micros,
     /// Held while the client is told; none: it is just closed.
     pub word: Option<Word>,
 }
 
 /// A descriptor for refusing.
-pub(crate) struct Word(Arc<Gate>);
+pub struct Word(Arc<Gate>);
 
 impl Drop for Word {
     fn drop(&mut self) {
@@ -73,50 +75,78 @@
 /// The least that clients must be left with for an instance to start.
 const LEAST_CLIENTS: u64 = 8;
 
-fn budget(split: &Split, limit: u64) -> Result<Budget, SettingsError> {
-    split.of(limit, LEAST_CLIENTS).map_err(|e| SettingsError::Values {
-        file: "settings".into(),
-        complaints: vec![format!("settings.descriptors: {e}")],
-    })
+/// What a gate goes by.
+pub struct GateConfig {
+    /// How descriptors are split.
+    pub split: Split,
+    /// The most descriptors, where that is less than the process may have.
+    pub most: u64,
+    /// The decider's limits.
+    pub caps: Caps,
+    /// Who is known, and for how long.
+    pub places: Places,
+    /// Blocks of addresses that are always known.
+    pub named: Vec<Block>,
+    /// Where known addresses are kept.
+    pub snapshot: Option<PathBuf>,
+    /// What counts as too slow.
+    pub pace: Pace,
+}
+
+impl GateConfig {
+    /// What the settings say.
+    pub(crate) fn new(settings: &Compiled) -> GateConfig {
+        let (a, d, front) =
+            (&settings.settings.admission, &settings.settings.descriptors, &settings.settings.front);
+        GateConfig {
+            split: Split {
+                listeners: d.listeners,
+                nodes: d.nodes,
+                peers: d.peers,
+                files: d.files,
+                spare: d.spare,
+                most_clients: front.max_connections as u64,
+            },
+            most: u64::MAX,
+            caps: Caps {
+                per_address: a.per_address,
+                per_prefix: a.per_prefix,
+                per_second: a.per_second,
+                handshakes: a.handshakes,
+                handshakes_per_address: a.handshakes_per_address,
+                reserve: a.reserve,
+                preferred: a.preferred,
+                remembered: a.known.max(1024),
+                words_per_s: a.words_per_s,
+                gives_way: None,
+            },
+            places: Places {
+                most: a.known,
+                per_account: a.known_per_account,
+                lasts: a.known_for_s.saturating_mul(1_000_000),
+            },
+            named: settings.named.clone(),
+            snapshot: a.snapshot.clone(),
+            pace: Pace { patience: front.patience_ms * 1000, bytes_per_s: a.bytes_per_s },
+        }
+    }
 }
 
 impl Gate {
+    /// A gate with nothing open.
+    ///
+    /// # Errors
+    /// What is set aside leaves clients too little.
     pub fn new(
         runtime: Shared,
-        settings: &Compiled,
+        config: GateConfig,
         telemetry: Arc<Telemetry>,
-    ) -> Result<Arc<Gate>, SettingsError> {
-        let (a, d, front) =
-            (&settings.settings.admission, &settings.settings.descriptors, &settings.settings.front);
-        let split = Split {
-            listeners: d.listeners,
-            nodes: d.nodes,
-            peers: d.peers,
-            files: d.files,
-            spare: d.spare,
-            most_clients: front.max_connections as u64,
-        };
-        let limit = runtime.descriptors();
-        let budget = budget(&split, limit)?;
+    ) -> Result<Arc<Gate>, BudgetError> {
+        let GateConfig { split, most, caps, places, named, snapshot, pace } = config;
+        let limit = runtime.descriptors().min(most);
+        let budget = split.of(limit, LEAST_CLIENTS)?;
         tracing::info!(limit, clients = budget.clients, nodes = budget.nodes, "descriptors");
-        let caps = Caps {
-            per_address: a.per_address,
-            per_prefix: a.per_prefix,
-            per_second: a.per_second,
-            handshakes: a.handshakes,
-            handshakes_per_address: a.handshakes_per_address,
-            reserve: a.reserve,
-            preferred: a.preferred,
-            remembered: a.known.max(1024),
-            words_per_s: a.words_per_s,
-        };
-        let places = Places {
-            most: a.known,
-            per_account: a.known_per_account,
-            lasts: a.known_for_s.saturating_mul(1_000_000),
-        };
-        let known = Known::new(places, settings.named.clone());
-        let decider = Admission::new(caps, budget, known);
+        let decider = Admission::new(caps, budget, Known::new(places, named));
         let state = State {
             decider,
             pulse: Pulse::new(runtime.now(), TICK),
@@ -131,10 +161,11 @@
             telemetry,
             state: Mutex::new(state),
             split,
+            most,
             limit: AtomicU64::new(limit),
             refusing: AtomicU64::new(0),
-            snapshot: a.snapshot.clone(),
-            pace: Pace { patience: front.patience_ms * 1000, bytes_per_s: a.bytes_per_s },
+            snapshot,
+            pace,
         }))
     }
 
@@ -245,7 +276,7 @@
 
     /// Whether the process's limit has changed.
     fn look(&self, now: Micros) {
-        let limit = self.runtime.descriptors();
+        let limit = self.runtime.descriptors().min(self.most);
         let old = self.limit.swap(limit, Ordering::Relaxed);
         if old == limit {
             return;
--- a/crates/gateway/src/instance.rs
+++ b/crates/gateway/src/instance.rs
@@ -1,10 +1,10 @@
 //! An instance: its parts put together, and the handle to it.
 
-use crate::driver::{Driver, Input};
-use crate::front::{self, grpc::Grpc, mqtt::Mqtt, Door};
-use crate::gate::Gate;
+use crate::driver::{Driver, Figures, Input};
+use crate::front::{self, grpc::Grpc, mqtt::Mqtt, Door, Entrance};
+use crate::gate::{Gate, GateConfig};
 use crate::ledger::Desk;
-use crate::nodes::NodeList;
+use crate::nodes::{Book, NodeList};
 use crate::peers::{Key, Opener, Sealer, MOST_DATAGRAM};
 use crate::settings::{Compiled, ListSource, Settings, SettingsError};
 use crate::sources;
@@ -96,7 +96,11 @@
             }
         };
         let (born, telemetry) = (runtime.now(), Arc::new(Telemetry::default()));
-        let gate = Gate::new(runtime.clone(), &settings, telemetry.clone())?;
+        let gate = Gate::new(runtime.clone(), GateConfig::new(&settings), telemetry.clone());
+        let gate = gate.map_err(|e| SettingsError::Values {
+            file: "settings".into(),
+            complaints: vec![format!("settings.descriptors: {e}")],
+        })?;
         gate.restore().await;
         if let Some((front, _)) = &mqtt {
             front.restore(&runtime).await;
@@ -144,18 +148,19 @@
             desk.tasks(writer, driver.clone(), &killed).into_iter().for_each(start);
         }
         let core = Gateway::new(settings.core(), runtime.random(), born);
-        let links = Links::new(runtime.clone(), settings.clone(), driver.clone(), killed.clone());
-        let main = Driver::new(
-            runtime.clone(),
-            settings.clone(),
-            telemetry.clone(),
-            core,
-            links,
-            peers,
-            desk,
-            name.clone(),
-            input,
-        );
+        let links = Links::new(runtime.clone(), settings.clone(), driver.clone(), killed.clone(), &name);
+        let limits = &settings.settings.limits;
+        let figures = Figures {
+            ingresses: fleet.ingresses,
+            me: fleet.me,
+            max_open: limits.max_open as usize,
+            pause: if limits.retry_after { limits.max_retry_after_ms * 1000 } else { 0 },
+        };
+        let book = Book::new(settings.zones.clone(), settings.settings.nodes.most);
+        let main = Driver::new(runtime.clone(), figures, telemetry.clone(), core, links, input)
+            .reading(book)
+            .telling(peers)
+            .booking(desk, settings.clone(), name.clone());
         let nodes = &settings.settings.nodes;
         let mut keep = None;
         if let Some(path) = &nodes.cache {
@@ -183,24 +188,22 @@
             }
             ListSource::Handle => {}
         }
-        let door = Door {
+        let entrance = Entrance {
             runtime: runtime.clone(),
-            settings: settings.clone(),
             telemetry,
-            driver,
-            ids: Arc::new(AtomicU64::new(1)),
-            name,
             drain: drained,
             kill: killed.clone(),
             open: instance.open.clone(),
             gate: gate.clone(),
         };
+        let ids = Arc::new(AtomicU64::new(1));
+        let door = Door { entrance: entrance.clone(), settings: settings.clone(), driver, ids, name };
         start(Box::pin(gate.watch()));
         if let Some((front, listener)) = mqtt {
             start(Box::pin(front.clone().watch(runtime.clone())));
-            start(Box::pin(front::listen(front, door.clone(), listener)));
+            start(Box::pin(front::listen(front, door.clone(), entrance.clone(), listener)));
         }
-        start(Box::pin(front::listen(Grpc, door, listener)));
+        start(Box::pin(front::listen(Grpc, door, entrance, listener)));
         tracing::info!(ingress = fleet.me, grpc = %instance.grpc, "started");
         Ok(instance)
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -4,6 +4,7 @@
 //! service, sends what the module lets in to nodes, talks to its peers, and is drained or stopped through its handle.
 //! All decisions on requests are those of `chalkgap-core`; the driver inside carries them out.
 //!
+//! - [`doors`]: the driver, the gate and the traits of ways in and out, for other protocols' packages
 //! - [`settings`]: what an instance is told, as a script or in place
 //! - [`nodes`]: the list of nodes
 //! - [`peers`]: authenticated datagrams between ingresses
@@ -21,6 +22,16 @@
 pub mod telemetry;
 mod upstream;
 
+/// What a protocol in a package of its own is built on: the driver that owns the module, what goes in and out of it, and
+/// the gate that lets connections in. An [`Instance`] is put together from the same parts.
+pub mod doors {
+    pub use crate::driver::{Answer, Ask, Call, Driver, Ended, Figures, Input, Reply, Upstream};
+    pub use crate::front::{listen, Entrance, Front};
+    pub use crate::gate::{Gate, GateConfig, Pass};
+    pub use crate::peers::Intake;
+    pub use crate::settings::Customer;
+}
+
 pub use chalkgap_runtime as runtime;
 pub use instance::{Instance, StartError};
 pub use ledger::periods;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -103,16 +103,38 @@
     me: u16,
     fleet: u16,
     heard: HashMap<u16, Heard>,
-    /// Datagrams that may be taken now, how many come a second, since when.
+    intake: Intake,
+}
+
+/// How many messages an ingress takes in a second.
+pub struct Intake {
+    /// Messages that may be taken now, how many come a second, since when.
     allowance: f64,
     per_second: f64,
     at: u64,
 }
 
+impl Intake {
+    /// `per_second` messages, and as many at once.
+    pub fn new(per_second: f64) -> Self {
+        Intake { allowance: per_second.max(1.0), per_second, at: 0 }
+    }
+
+    /// Whether one more may be taken at `now` (microseconds).
+    pub fn take(&mut self, now: u64) -> bool {
+        let span = now.saturating_sub(self.at) as f64 / 1e6;
+        self.at = self.at.max(now);
+        self.allowance = (self.allowance + span * self.per_second).min(self.per_second.max(1.0));
+        let may = self.allowance >= 1.0;
+        self.allowance -= f64::from(u8::from(may));
+        may
+    }
+}
+
 impl Opener {
     /// An opener for ingress `me` of `fleet`, that takes `per_second` messages.
     pub fn new(key: Key, me: u16, fleet: u16, per_second: f64) -> Self {
-        Opener { key, me, fleet, heard: HashMap::new(), allowance: per_second.max(1.0), per_second, at: 0 }
+        Opener { key, me, fleet, heard: HashMap::new(), intake: Intake::new(per_second) }
     }
 
     /// The sender and the message of a datagram that came at `now` (microseconds).
@@ -155,13 +177,9 @@
             h.taken |= 1 << behind;
         }
         // Last: what is no message of a peer does not use up what peers may send.
-        let span = now.saturating_sub(self.at) as f64 / 1e6;
-        self.at = self.at.max(now);
-        self.allowance = (self.allowance + span * self.per_second).min(self.per_second.max(1.0));
-        if self.allowance < 1.0 {
+        if !self.intake.take(now) {
             return Err(Dropped::Limit);
         }
-        self.allowance -= 1.0;
         Ok((from, &body[HEAD..]))
     }
 }
--- a/crates/gateway/src/telemetry.rs
+++ b/crates/gateway/src/telemetry.rs
@@ -6,7 +6,7 @@
     ($($(#[doc = $doc:literal])+ $name:ident,)+) => {
         /// Running totals since the start of an instance.
         #[derive(Default)]
-        pub struct Telemetry { $($(#[doc = $doc])+ pub(crate) $name: AtomicU64,)+ }
+        pub struct Telemetry { $($(#[doc = $doc])+ pub $name: AtomicU64,)+ }
 
         /// [`Telemetry`] at one moment.
         #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Serialize)]
@@ -96,6 +96,7 @@
     ledger_export_again,
 }
 
-pub(crate) fn add(counter: &AtomicU64) {
+/// Counts one more.
+pub fn add(counter: &AtomicU64) {
     counter.fetch_add(1, Ordering::Relaxed);
 }
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -1,11 +1,11 @@
 //! Connections to nodes: HTTP/2, pooled, one gRPC call an attempt. Each connection is a task; [`Links`] is the
 //! driver's side of them. What passed on the connection gives the outcome; when in doubt the attempt may have run.
 
-use crate::driver::{Ended, Input};
+use crate::driver::{self, request_name, Ended, Input, Upstream};
 use crate::settings::Compiled;
 use async_channel::{Receiver, Sender};
 use bytes::Bytes;
-use chalkgap_core::{BackendId, Outcome, RequestId};
+use chalkgap_core::{BackendId, Outcome, Report, RequestId};
 use chalkgap_pipe::{while_alive, Pipe, Turn};
 use chalkgap_runtime::{Micros, Shared};
 use chalkgap_wire::grpc::{self, Deframer, Status};
@@ -19,19 +19,17 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 
-/// An attempt to be made.
-pub(crate) struct Call {
-    pub id: RequestId,
-    pub attempt: u16,
-    pub class: u8,
-    pub work: Bytes,
-    pub key: Option<Bytes>,
-    pub request: String,
-    /// When the request's entry in the ledger was written.
-    pub entered: Option<Micros>,
-    pub until: Micros,
+/// What nodes get of a request.
+#[derive(Clone)]
+pub struct Work {
+    /// The framed message.
+    pub(crate) body: Bytes,
+    /// What they drop repeats by.
+    pub(crate) key: Option<Bytes>,
 }
 
+type Call = driver::Call<Work>;
+
 /// What a connection is told.
 pub(crate) enum Command {
     Start(Box<Call>),
@@ -53,7 +51,7 @@
 }
 
 /// All connections to nodes, as the driver sees them.
-pub(crate) struct Links {
+pub struct Links {
     world: World,
     kill: Receiver<()>,
     links: HashMap<u64, Link>,
@@ -68,17 +66,35 @@
     runtime: Shared,
     settings: Arc<Compiled>,
     driver: Sender<Input>,
+    /// Sets this start's requests apart from all others.
+    name: Arc<str>,
 }
 
 impl Links {
-    pub fn new(runtime: Shared, settings: Arc<Compiled>, driver: Sender<Input>, kill: Receiver<()>) -> Self {
+    pub(crate) fn new(
+        runtime: Shared,
+        settings: Arc<Compiled>,
+        driver: Sender<Input>,
+        kill: Receiver<()>,
+        name: &str,
+    ) -> Self {
         let most = settings.settings.descriptors.nodes as usize;
-        let world = World { runtime, settings, driver };
+        let world = World { runtime, settings, driver, name: name.into() };
         Links { world, kill, links: HashMap::new(), pools: BTreeMap::new(), next: 1, most }
     }
 
-    /// Hands a call to a connection and gives its number; none if all are full.
-    pub fn start(&mut self, backend: BackendId, address: SocketAddr, call: Call) -> Option<u64> {
+    /// Tells a connection; nothing happens where it has ended.
+    fn command(&self, link: u64, command: Command) {
+        if let Some(l) = self.links.get(&link) {
+            let _ = l.commands.try_send(command);
+        }
+    }
+}
+
+impl Upstream for Links {
+    type Work = Work;
+
+    fn start(&mut self, backend: BackendId, address: SocketAddr, call: Call) -> Option<u64> {
         let limits = &self.world.settings.settings.upstream;
         let (most, connections) = (limits.max_streams, limits.connections);
         let pool = self.pools.entry(backend).or_default();
@@ -118,15 +134,11 @@
         Some(number)
     }
 
-    /// Tells a connection; nothing happens where it has ended.
-    pub fn command(&self, link: u64, command: Command) {
-        if let Some(l) = self.links.get(&link) {
-            let _ = l.commands.try_send(command);
-        }
+    fn stop(&mut self, link: u64, id: RequestId, attempt: u16) {
+        self.command(link, Command::Stop { id, attempt });
     }
 
-    /// A call of this connection has ended.
-    pub fn ended(&mut self, link: u64) {
+    fn ended(&mut self, link: u64) {
         let Some(l) = self.links.get_mut(&link) else { return };
         l.out = l.out.saturating_sub(1);
         if l.out == 0 && !self.pools.contains_key(&l.backend) {
@@ -134,8 +146,7 @@
         }
     }
 
-    /// Forgets nodes that are not listed: their connections end with their last call.
-    pub fn retain(&mut self, listed: impl Fn(BackendId) -> bool) {
+    fn retain(&mut self, listed: &dyn Fn(BackendId) -> bool) {
         let links = &mut self.links;
         self.pools.retain(|id, pool| {
             let keep = listed(*id);
@@ -150,8 +161,7 @@
         });
     }
 
-    /// Closes the idle connections to a node.
-    pub fn close_idle(&self, backend: BackendId) {
+    fn close_idle(&mut self, backend: BackendId) {
         for n in self.pools.get(&backend).into_iter().flatten() {
             self.command(*n, Command::Close);
         }
@@ -334,12 +344,12 @@
                 Field::constant("content-type", "application/grpc"),
                 Field::constant("te", "trailers"),
                 Field::new("grpc-timeout", grpc::format_timeout(left)),
-                Field::new(intake::REQUEST, call.request.clone()),
+                Field::new(intake::REQUEST, request_name(&self.world.name, call.id)),
             ];
             if let Some(at) = call.entered {
                 fields.push(Field::new(truth::ENTERED, at.to_string()));
             }
-            if let Some(key) = &call.key {
+            if let Some(key) = &call.work.key {
                 fields.push(Field::new(intake::KEY, key.clone()));
             }
             let Ok(stream) = pipe.conn.open(&fields, false) else {
@@ -347,7 +357,7 @@
                 continue;
             };
             // The stream is new and its buffer empty: nothing to fail.
-            let _ = pipe.conn.data(stream, call.work.clone(), true);
+            let _ = pipe.conn.data(stream, call.work.body.clone(), true);
             let body = Deframer::new(self.world.settings.settings.upstream.most_message);
             self.open.insert(stream, Open { call, body, answer: None, good: false });
         }
@@ -401,7 +411,15 @@
         let done = done.and_then(|m| Done::decode(m).ok());
         let load = trailers.iter().find(|f| f.name == orca::TRAILER).and_then(|f| orca::parse(&f.value));
         let outcome = if done.is_some() { Outcome::Ok } else { Outcome::Error };
+        let report = load.map(|l| Report {
+            in_flight: l.in_flight,
+            queue: l.queue,
+            util: l.cpu_utilization.or(l.application_utilization),
+            latency_ms: l.latency_ms,
+            served: l.rps,
+            errors: l.eps,
+        });
         let Done { body, units, repeat } = done.unwrap_or_default();
-        self.ended.push(Ended { load, body, units, repeat, ..ended(&o.call, outcome) });
+        self.ended.push(Ended { report, body, units, repeat, ..ended(&o.call, outcome) });
     }
 }
--- a/crates/lab/benches/admission.rs
+++ b/crates/lab/benches/admission.rs
@@ -154,6 +154,7 @@
         preferred: 0.1,
         remembered: 50_000,
         words_per_s: 500.0,
+        gives_way: None,
     };
     let known = Known::new(Places { most: 50_000, per_account: 64, lasts: 1 << 40 }, Vec::new());
     let mut a = Admission::new(caps, Budget { clients: 10_000, nodes: 256, spare: 16 }, known);
--- /dev/null
+++ b/crates/platform/src/backend.rs
@@ -0,0 +1,285 @@
+//! Connections to backends: each is a task that carries one request at a time; [`Links`] is the driver's side of them.
+//! What passed on the connection gives the outcome; when in doubt the attempt may have run.
+
+use crate::answer::{take, Answered};
+use crate::pool::{Pool, Way};
+use crate::request::Work;
+use async_channel::{Receiver, Sender};
+use bytes::{Buf, Bytes, BytesMut};
+use chalkgap::doors::{Call, Ended, Input, Upstream};
+use chalkgap_core::{BackendId, Outcome, RequestId};
+use chalkgap_pipe::while_alive;
+use chalkgap_runtime::{Alarm, Micros, Shared, Stream};
+use futures_lite::{future, AsyncRead, AsyncWrite, Stream as _};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::Poll;
+
+const READ: usize = 8 << 10;
+/// A start, a stop, and one more of each that crossed the end of a request.
+const ROOM: usize = 4;
+
+enum Command {
+    Start(Box<Call<Work>>),
+    Stop { id: RequestId, attempt: u16 },
+}
+
+/// What every connection's task needs.
+#[derive(Clone)]
+struct World {
+    runtime: Shared,
+    driver: Sender<Input<Work>>,
+    figures: Arc<Figures>,
+}
+
+/// What connections go by.
+pub struct Figures {
+    /// Names of the values in a load report.
+    pub report: Vec<String>,
+    /// A connection still not made after this is not made.
+    pub connect_timeout: Micros,
+    /// An idle connection is closed after this; less than the backend's own limit.
+    pub idle: Micros,
+}
+
+/// All connections to backends.
+pub struct Links {
+    world: World,
+    kill: Receiver<()>,
+    pool: Pool,
+    /// Dropped to end a connection.
+    commands: HashMap<u64, Sender<Command>>,
+}
+
+impl Links {
+    /// At most `most` connections.
+    pub fn new(
+        runtime: Shared,
+        driver: Sender<Input<Work>>,
+        figures: Figures,
+        most: usize,
+        kill: Receiver<()>,
+    ) -> Self {
+        let world = World { runtime, driver, figures: Arc::new(figures) };
+        Links { world, kill, pool: Pool::new(most), commands: HashMap::new() }
+    }
+}
+
+impl Upstream for Links {
+    type Work = Work;
+
+    fn start(&mut self, backend: BackendId, address: SocketAddr, call: Call<Work>) -> Option<u64> {
+        let number = match self.pool.take(self.world.runtime.now(), backend, address) {
+            Way::Reuse(number) => number,
+            Way::Full => return None,
+            Way::Open { number, close } => {
+                if let Some(victim) = close {
+                    self.commands.remove(&victim);
+                }
+                let (commands, receiver) = async_channel::bounded(ROOM);
+                let task = run(self.world.clone(), number, address, receiver);
+                self.world.runtime.spawn(Box::pin(while_alive(self.kill.clone(), task))).detach();
+                self.commands.insert(number, commands);
+                number
+            }
+        };
+        let sent = self.commands.get(&number).map(|c| c.try_send(Command::Start(Box::new(call))));
+        if !matches!(sent, Some(Ok(()))) {
+            self.pool.closed(number);
+            self.ended(number);
+            return None;
+        }
+        Some(number)
+    }
+
+    fn stop(&mut self, link: u64, id: RequestId, attempt: u16) {
+        if let Some(commands) = self.commands.get(&link) {
+            let _ = commands.try_send(Command::Stop { id, attempt }); // full: it was told already
+                                                                      // To give an attempt up is to end its connection.
+            self.pool.closed(link);
+        }
+    }
+
+    fn ended(&mut self, link: u64) {
+        if !self.pool.free(self.world.runtime.now(), link) {
+            self.commands.remove(&link);
+        }
+    }
+
+    fn closed(&mut self, link: u64) {
+        if self.pool.closed(link) {
+            self.commands.remove(&link);
+        }
+    }
+
+    fn retain(&mut self, listed: &dyn Fn(BackendId) -> bool) {
+        for link in self.pool.retain(listed) {
+            self.commands.remove(&link);
+        }
+    }
+
+    fn close_idle(&mut self, backend: BackendId) {
+        for link in self.pool.close_idle(backend) {
+            self.commands.remove(&link);
+        }
+    }
+}
+
+/// How an exchange ended.
+struct Exchange {
+    answered: Answered,
+    /// All of the request was written.
+    written: bool,
+}
+
+fn without(outcome: Outcome) -> Answered {
+    Answered { outcome, value: Bytes::new(), report: None, usable: false }
+}
+
+/// A connection's life: until nobody can give it requests any more.
+async fn run(world: World, number: u64, address: SocketAddr, commands: Receiver<Command>) {
+    let mut link = Link {
+        stream: None,
+        commands: Box::pin(commands),
+        alarm: Alarm::new(world.runtime.clone()),
+        idle_since: 0,
+    };
+    while let Some(call) = link.next(&world, number).await {
+        let answered = link.carry(&world, address, &call).await;
+        if answered.usable {
+            link.idle_since = world.runtime.now();
+        } else {
+            link.stream = None;
+            // First: once it hears of the attempt's end the pool might give the connection away.
+            let _ = world.driver.send(Input::LinkClosed(number)).await; // closed: the instance has stopped
+        }
+        let Answered { outcome, value, report, .. } = answered;
+        let ended = Ended { body: value, report, ..Ended::without_answer(call.id, call.attempt, outcome) };
+        let _ = world.driver.send(Input::Ended(Box::new(ended))).await;
+    }
+}
+
+struct Link {
+    stream: Option<Box<dyn Stream>>,
+    commands: Pin<Box<Receiver<Command>>>,
+    alarm: Alarm,
+    idle_since: Micros,
+}
+
+impl Link {
+    /// Waits for the next request. A connection that grows too old, ends or says something unasked meanwhile is closed.
+    async fn next(&mut self, world: &World, number: u64) -> Option<Box<Call<Work>>> {
+        loop {
+            let until = self.stream.is_some().then_some(self.idle_since + world.figures.idle);
+            let next = future::poll_fn(|cx| {
+                // Before a command is taken: a request must not be written to a connection that has ended.
+                if let Some(stream) = &mut self.stream {
+                    if Pin::new(stream).poll_read(cx, &mut [0; 1]).is_ready() {
+                        return Poll::Ready(None);
+                    }
+                }
+                match self.commands.as_mut().poll_next(cx) {
+                    Poll::Ready(command) => Poll::Ready(Some(command)),
+                    Poll::Pending => self.alarm.poll(until, cx).map(|()| None),
+                }
+            });
+            match next.await {
+                Some(Some(Command::Start(call))) => return Some(call),
+                Some(Some(Command::Stop { .. })) => {} // its request has ended already
+                Some(None) => return None,
+                None => {
+                    self.stream = None;
+                    let _ = world.driver.send(Input::LinkClosed(number)).await;
+                }
+            }
+        }
+    }
+
+    /// Carries one request to its end.
+    async fn carry(&mut self, world: &World, address: SocketAddr, call: &Call<Work>) -> Answered {
+        let runtime = &world.runtime;
+        if self.stream.is_none() {
+            let until = runtime.now() + world.figures.connect_timeout;
+            let connect = async { Some(runtime.connect(address).await.ok()) };
+            let late = async {
+                runtime.sleep_until(until).await;
+                Some(None)
+            };
+            let stopped = self.stopped(call);
+            match future::or(stopped, future::or(connect, late)).await {
+                Some(Some(stream)) => self.stream = Some(stream),
+                Some(None) => return without(Outcome::ConnectFailed),
+                None => return without(Outcome::Moot), // called off before anything was written
+            }
+        }
+        let left = call.until.saturating_sub(runtime.now());
+        if left == 0 {
+            return without(Outcome::Moot);
+        }
+        let mut out = BytesMut::with_capacity(256);
+        call.work.put(&mut out, left.div_ceil(1000));
+        let Exchange { answered, written } = self.exchange(world, call, out).await;
+        match (written, answered.outcome) {
+            // The backend begins a command with its last byte: it was never begun, whatever came back.
+            (false, Outcome::Cancelled) => without(Outcome::Moot),
+            (false, Outcome::Full) => Answered { usable: false, ..answered },
+            (false, _) => without(Outcome::ConnectFailed),
+            (true, _) => answered,
+        }
+    }
+
+    /// None once the call is called off, or nobody waits for it any more.
+    async fn stopped<T>(&mut self, call: &Call<Work>) -> Option<T> {
+        loop {
+            match future::poll_fn(|cx| self.commands.as_mut().poll_next(cx)).await {
+                Some(Command::Stop { id, attempt }) if (id, attempt) != (call.id, call.attempt) => {}
+                _ => return None,
+            }
+        }
+    }
+
+    async fn exchange(&mut self, world: &World, call: &Call<Work>, mut out: BytesMut) -> Exchange {
+        let mut input = BytesMut::new();
+        let Some(stream) = &mut self.stream else {
+            return Exchange { answered: without(Outcome::ConnectFailed), written: false };
+        };
+        let commands = &mut self.commands;
+        let answered = future::poll_fn(|cx| {
+            loop {
+                match commands.as_mut().poll_next(cx) {
+                    Poll::Ready(Some(Command::Stop { id, attempt })) => {
+                        if (id, attempt) == (call.id, call.attempt) {
+                            return Poll::Ready(without(Outcome::Cancelled));
+                        }
+                    }
+                    Poll::Ready(_) => return Poll::Ready(without(Outcome::Cancelled)),
+                    Poll::Pending => break,
+                }
+            }
+            while !out.is_empty() {
+                match Pin::new(&mut *stream).poll_write(cx, &out) {
+                    Poll::Ready(Ok(n)) if n > 0 => out.advance(n),
+                    Poll::Ready(_) => return Poll::Ready(without(Outcome::Reset)),
+                    Poll::Pending => break,
+                }
+            }
+            let mut buffer = [0; READ];
+            loop {
+                match Pin::new(&mut *stream).poll_read(cx, &mut buffer) {
+                    Poll::Ready(Ok(n)) if n > 0 => {
+                        input.extend_from_slice(&buffer[..n]);
+                        if let Some(answered) = take(&mut input, &world.figures.report) {
+                            return Poll::Ready(answered);
+                        }
+                    }
+                    Poll::Ready(_) => return Poll::Ready(without(Outcome::Reset)),
+                    Poll::Pending => return Poll::Pending,
+                }
+            }
+        })
+        .await;
+        Exchange { answered, written: out.is_empty() }
+    }
+}
--- /dev/null
+++ b/crates/platform/src/front.rs
@@ -0,0 +1,208 @@
+//! Clients' connections: bytes to [`Session`], requests to the driver, answers back.
+
+use crate::request::{Grammar, Request, Work};
+use crate::session::{Heard, Session, MOST_OPEN};
+use async_channel::Sender;
+use chalkgap::doors::{Answer, Ask, Customer, Front, Input, Pass, Reply};
+use chalkgap::telemetry::{add, Telemetry};
+use chalkgap_core::{CustomerId, RequestId};
+use chalkgap_pipe::{Pipe, Turn};
+use chalkgap_runtime::{BoxFuture, Micros, Shared, Stream};
+use futures_lite::{future, AsyncWriteExt};
+use std::collections::{HashMap, HashSet};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+/// A connection that has not asked anything for so long after it was let in is closed; so is one that leaves a command
+/// half sent.
+const PATIENCE: Micros = 2_200_000;
+/// A client that reads nothing of what it is owed for so long is given up.
+const UNREAD: Micros = 10_000_000;
+/// How long a client that is told to go may take to close.
+const LINGER: Micros = 300_000;
+/// For the way back: an answer has to be with the client by its deadline.
+const MARGIN: Micros = 4_000;
+/// How long after the drain began what is still open is answered all the same: the platform kills the process soon.
+pub const OVERTIME: Micros = 3_300_000;
+
+/// What all connections share.
+#[derive(Clone)]
+pub struct Door {
+    pub runtime: Shared,
+    pub telemetry: Arc<Telemetry>,
+    pub driver: Sender<Input<Work>>,
+    pub grammar: Arc<Grammar>,
+    /// The next request's number.
+    pub ids: Arc<AtomicU64>,
+    /// Ids of clients' requests that are open.
+    pub open: Arc<Mutex<HashSet<u64>>>,
+    /// When the drain began; 0 before.
+    pub draining: Arc<AtomicU64>,
+}
+
+impl Door {
+    fn open(&self) -> MutexGuard<'_, HashSet<u64>> {
+        self.open.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn ask(&self, token: u32, request: Request, reply: Sender<Reply>) -> Ask<Work> {
+        let Request { customer, class, plan, wait, units, width, first, work, .. } = request;
+        let customer = Customer { id: CustomerId(customer), plan, first, width };
+        let deadline = self.runtime.now() + wait.saturating_sub(MARGIN);
+        let id = RequestId(self.ids.fetch_add(1, Ordering::Relaxed));
+        Ask { id, class, account: String::new(), customer, units, deadline, work, reply, token }
+    }
+}
+
+/// The platform's front.
+#[derive(Clone)]
+pub struct Resp;
+
+impl Front for Resp {
+    type Door = Door;
+
+    fn serve(&self, door: Door, stream: Box<dyn Stream>, pass: Pass) -> BoxFuture<'static, ()> {
+        Box::pin(async move {
+            let (reply, replies) = async_channel::bounded(MOST_OPEN);
+            let runtime = door.runtime.clone();
+            let session = Session::new(door.grammar.clone());
+            let pipe = Pipe::new(runtime, stream, session, replies, pass.signal.clone());
+            let began = door.runtime.now();
+            Client { door, pass, reply, asked: HashMap::new(), began, partial: None }.serve(pipe).await;
+        })
+    }
+
+    fn refuse(&self, runtime: Shared, mut stream: Box<dyn Stream>, _: Micros) -> BoxFuture<'static, ()> {
+        Box::pin(async move {
+            let write = async {
+                let _ = stream.write_all(b"-ERR too many connections\r\n").await;
+                // it is closed anyway
+            };
+            future::or(write, runtime.sleep_until(runtime.now() + LINGER)).await;
+        })
+    }
+}
+
+struct Client {
+    door: Door,
+    pass: Pass,
+    reply: Sender<Reply>,
+    /// Requests that are out, by the numbers of their slots.
+    asked: HashMap<u32, (RequestId, u64)>,
+    began: Micros,
+    /// Since when a command is half there.
+    partial: Option<Micros>,
+}
+
+type ClientPipe = Pipe<Reply, Session>;
+
+impl Client {
+    async fn serve(mut self, mut pipe: ClientPipe) {
+        let mut shaken = false;
+        loop {
+            let drain = self.door.draining.load(Ordering::Relaxed);
+            let overtime = (drain > 0).then_some(drain + OVERTIME);
+            let silent = (!shaken).then_some(self.began + PATIENCE);
+            let half = self.partial.map(|p| p + PATIENCE);
+            let unread = pipe.backlog().map(|b| b.0 + UNREAD);
+            let until = [overtime, silent, half, unread].into_iter().flatten().min();
+            let read = pipe.conn.reads();
+            match pipe.turn(until, read).await {
+                Turn::Read => {}
+                Turn::Command(reply) => {
+                    self.answered(reply, &mut pipe.conn);
+                    while let Some(reply) = pipe.command() {
+                        self.answered(reply, &mut pipe.conn);
+                    }
+                }
+                Turn::Signal => {
+                    if self.pass.draining() || (pipe.conn.idle() && !pipe.conn.partial()) {
+                        pipe.conn.stop();
+                    } else {
+                        pipe.watch(self.pass.stays());
+                    }
+                }
+                Turn::Time => {
+                    let now = self.door.runtime.now();
+                    let due = |t: Option<Micros>| t.is_some_and(|t| t <= now);
+                    if due(overtime) {
+                        self.overtime(&mut pipe.conn).await;
+                    } else if due(unread) {
+                        break;
+                    } else if due(half) || due(silent) {
+                        add(&self.door.telemetry.too_slow);
+                        shaken = true;
+                        pipe.conn.fail("ERR no whole command in time");
+                    }
+                }
+                Turn::Bad(never) => match never {},
+                Turn::Closed => break,
+            }
+            shaken = self.heard(&mut pipe.conn, shaken).await;
+            self.partial = match pipe.conn.partial() && pipe.conn.reads() {
+                true => self.partial.or_else(|| Some(self.door.runtime.now())),
+                false => None,
+            };
+            if pipe.conn.over() {
+                let until = self.door.runtime.now() + LINGER;
+                pipe.close(until).await;
+                break;
+            }
+        }
+        self.leave().await;
+    }
+
+    /// Takes what can be taken of what the client has sent; whether it has asked anything by now.
+    async fn heard(&mut self, session: &mut Session, shaken: bool) -> bool {
+        let mut shaken = shaken;
+        loop {
+            let open = self.door.open.clone();
+            let take = move |id| open.lock().unwrap_or_else(PoisonError::into_inner).insert(id);
+            let Some(Heard { token, request }) = session.next(take) else { break };
+            if !shaken {
+                shaken = true;
+                self.pass.handshaken();
+            }
+            self.pass.request();
+            let id = request.id;
+            let ask = self.door.ask(token, request, self.reply.clone());
+            self.asked.insert(token, (ask.id, id));
+            if self.door.driver.send(Input::Ask(Box::new(ask))).await.is_err() {
+                session.stop(); // the instance has stopped
+                break;
+            }
+        }
+        if !shaken && session.spoken() {
+            shaken = true;
+            self.pass.handshaken();
+        }
+        shaken
+    }
+
+    fn answered(&mut self, reply: Reply, session: &mut Session) {
+        let Some((_, id)) = self.asked.remove(&reply.token) else { return };
+        self.door.open().remove(&id);
+        let refused = matches!(reply.answer, Answer::Refused { .. });
+        self.pass.ended(None, refused);
+        session.answered(reply.token, reply.answer);
+    }
+
+    /// The process will be killed soon: what is still open has failed.
+    async fn overtime(&mut self, session: &mut Session) {
+        session.stop();
+        for (token, (request, id)) in std::mem::take(&mut self.asked) {
+            self.door.open().remove(&id);
+            self.pass.ended(None, false);
+            let _ = self.door.driver.send(Input::Gone(request)).await; // closed: the instance has stopped
+            session.answered(token, Answer::Failed { late: true });
+        }
+    }
+
+    /// The client is gone.
+    async fn leave(self) {
+        for (_, (request, id)) in self.asked {
+            self.door.open().remove(&id);
+            let _ = self.door.driver.send(Input::Gone(request)).await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/platform/src/ingress.rs
@@ -0,0 +1,247 @@
+//! An ingress of the platform: its parts put together, and the handle to it.
+
+use crate::backend::{self, Links};
+use crate::config::Config;
+use crate::discovery;
+use crate::front::{Door, Resp, OVERTIME};
+use crate::list::Roster;
+use crate::peers;
+use crate::request::Grammar;
+use async_channel::{Receiver, Sender};
+use chalkgap::doors::{listen, Driver, Entrance, Figures, Gate, GateConfig, Input};
+use chalkgap::telemetry::{Counts, Telemetry};
+use chalkgap_admission::known::Places;
+use chalkgap_admission::pace::Pace;
+use chalkgap_admission::{BudgetError, Caps, GivesWay, Split};
+use chalkgap_core::Gateway;
+use chalkgap_pipe::while_alive;
+use chalkgap_runtime::{Datagrams, Micros, Shared};
+use std::future::Future;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::Arc;
+
+/// Inputs that may wait for the driver: beyond these, connections wait.
+const ROOM: usize = 1024;
+/// Messages that may wait to be sent to peers.
+const PEER_ROOM: usize = 256;
+/// How long the first list of discovery may keep clients waiting.
+const FIRST_LIST: Micros = 500_000;
+/// After the word to end, how long clients are still taken: they go on coming for up to 0.4 s.
+const STILL_TAKEN: Micros = 450_000;
+/// Descriptors that a runtime, listeners, discovery and standard streams need.
+const OWN: u64 = 20;
+
+/// Why an ingress does not start.
+#[derive(Debug, thiserror::Error)]
+pub enum StartError {
+    /// An address cannot be bound.
+    #[error("{what}: {address} cannot be bound: {error}")]
+    Bind {
+        /// What for.
+        what: &'static str,
+        /// The address.
+        address: SocketAddr,
+        /// The system's word.
+        error: std::io::Error,
+    },
+    /// Too few descriptors.
+    #[error("limits.sockets: {0}")]
+    Sockets(#[from] BudgetError),
+}
+
+/// A running ingress. Dropped, it is killed.
+pub struct Ingress {
+    runtime: Shared,
+    address: SocketAddr,
+    telemetry: Arc<Telemetry>,
+    open: Arc<AtomicUsize>,
+    gate: Arc<Gate>,
+    moves: Sender<SocketAddr>,
+    draining: Arc<AtomicU64>,
+    drain: Option<Sender<()>>,
+    _kill: Sender<()>,
+}
+
+/// How descriptors are split: clients hold a third at most for requests, others come besides; the rest is for backends.
+fn split(sockets: u64) -> Split {
+    let spare = (sockets / 20).max(8);
+    let clients = sockets * 45 / 100;
+    let nodes = sockets.saturating_sub(clients + spare + OWN);
+    Split { listeners: OWN, nodes, peers: 0, files: 0, spare, most_clients: clients }
+}
+
+fn gate(sockets: u64) -> GateConfig {
+    GateConfig {
+        split: split(sockets),
+        most: sockets,
+        // All clients come by one front, from addresses that say nothing: nobody is told apart by them.
+        caps: Caps {
+            per_address: u32::MAX,
+            per_prefix: u32::MAX,
+            per_second: 1e9,
+            handshakes: u32::MAX / 2,
+            handshakes_per_address: u32::MAX / 2,
+            reserve: 0.0,
+            preferred: 0.0,
+            remembered: 64,
+            words_per_s: 200.0,
+            gives_way: Some(GivesWay { silent: 200_000, idle: 2_000_000 }),
+        },
+        places: Places { most: 64, per_account: 4, lasts: 60_000_000 },
+        named: Vec::new(),
+        snapshot: None,
+        pace: Pace { patience: 2_000_000, bytes_per_s: 1 },
+    }
+}
+
+impl Ingress {
+    /// Starts an ingress: binds its sockets, takes the list that it knew, and serves.
+    ///
+    /// # Errors
+    /// See [`StartError`]; nothing runs then.
+    pub async fn start(config: Config, runtime: Shared) -> Result<Ingress, StartError> {
+        let terms = Arc::new(config.terms.clone());
+        let bind = |what, address, error| StartError::Bind { what, address, error };
+        let telemetry = Arc::new(Telemetry::default());
+        let gate = Gate::new(runtime.clone(), gate(config.sockets), telemetry.clone())?;
+        let socket: Option<Arc<dyn Datagrams>> =
+            match config.peer_listen.filter(|_| terms.settings.limits.peers) {
+                None => None,
+                Some(at) => Some(Arc::from(runtime.datagrams(at).map_err(|e| bind("peer_listen", at, e))?)),
+            };
+        let (driver, input) = async_channel::bounded(ROOM);
+        let (drain, drained) = async_channel::bounded(1);
+        let (kill, killed) = async_channel::bounded(1);
+        let (moves, moved) = async_channel::bounded(4);
+        let start = |task| spawn(&runtime, &killed, task);
+
+        let mut told = None;
+        if let Some(socket) = socket {
+            let (tell, messages) = async_channel::bounded(PEER_ROOM);
+            told = Some(tell);
+            start(Box::pin(peers::tell(socket.clone(), config.peers.clone(), messages)));
+            let per_second = terms.settings.limits.peer_in_per_s;
+            let (runtime, telemetry) = (runtime.clone(), telemetry.clone());
+            let hear =
+                peers::hear(runtime, socket, config.peers.clone(), per_second, telemetry, driver.clone());
+            start(Box::pin(hear));
+        }
+
+        let links = Links::new(
+            runtime.clone(),
+            driver.clone(),
+            backend::Figures {
+                report: terms.report.clone(),
+                connect_timeout: terms.connect_timeout,
+                // Well before the backend does it: a request that crosses its closing may have run.
+                idle: terms.keepalive * 6 / 10,
+            },
+            split(config.sockets).nodes as usize,
+            killed.clone(),
+        );
+        let limits = &terms.settings.limits;
+        let figures = Figures {
+            ingresses: terms.settings.gateways,
+            me: terms.settings.me.0,
+            max_open: limits.max_open as usize,
+            pause: if limits.retry_after { limits.max_retry_after } else { 0 },
+        };
+        let core = Gateway::new(terms.settings.clone(), config.seed, runtime.now());
+        let main = Driver::new(runtime.clone(), figures, telemetry.clone(), core, links, input).telling(told);
+        let mut roster = Roster::new(terms.zones.clone(), terms.kinds.clone());
+        if let Some(list) = &config.known {
+            let (kind, lines) = roster.known(list);
+            let _ = driver.try_send(Input::Roster { kind, lines }); // the channel is new and empty
+        }
+        start(Box::pin(main.run()));
+        let (first, listed) = async_channel::bounded::<()>(1);
+        start(Box::pin(discovery::follow(
+            runtime.clone(),
+            roster,
+            config.discovery,
+            moved,
+            driver.clone(),
+            first,
+        )));
+        // Clients come as soon as it listens: it does so with a list that is not old, if one is to be had at once.
+        let patience = runtime.sleep_until(runtime.now() + FIRST_LIST);
+        futures_lite::future::or(
+            async {
+                let _ = listed.recv().await;
+            },
+            patience,
+        )
+        .await;
+
+        let listener = runtime.listen(config.listen).map_err(|e| bind("listen", config.listen, e))?;
+        let address = listener.address();
+        let (open, draining) = (Arc::new(AtomicUsize::new(0)), Arc::new(AtomicU64::new(0)));
+        let entrance = Entrance {
+            runtime: runtime.clone(),
+            telemetry: telemetry.clone(),
+            drain: drained,
+            kill: killed.clone(),
+            open: open.clone(),
+            gate: gate.clone(),
+        };
+        let door = Door {
+            runtime: runtime.clone(),
+            telemetry: telemetry.clone(),
+            driver,
+            grammar: Arc::new(Grammar::new(&terms)),
+            ids: Arc::new(AtomicU64::new(1)),
+            open: Arc::default(),
+            draining: draining.clone(),
+        };
+        start(Box::pin(gate.clone().watch()));
+        start(Box::pin(listen(Resp, door, entrance, listener)));
+        tracing::info!(ingress = config.name, %address, "started");
+        Ok(Ingress {
+            runtime,
+            address,
+            telemetry,
+            open,
+            gate,
+            moves,
+            draining,
+            drain: Some(drain),
+            _kill: kill,
+        })
+    }
+
+    /// Where clients connect.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Running totals since the start.
+    pub fn counts(&self) -> Counts {
+        self.telemetry.counts()
+    }
+
+    /// Takes a new configuration: discovery's address. All else is for the next start.
+    pub fn reload(&self, config: &Config) {
+        let _ = self.moves.try_send(config.discovery); // full: a later one follows
+    }
+
+    /// Ends in order: clients are taken a little longer, then connections are closed between requests, what was taken is
+    /// answered, at the latest when the process is about to be killed.
+    pub async fn drain(&mut self) {
+        let now = self.runtime.now();
+        self.draining.store(now, Ordering::Relaxed);
+        self.runtime.sleep_until(now + STILL_TAKEN).await;
+        self.drain = None;
+        self.gate.drain();
+        let until = now + OVERTIME + 300_000;
+        while self.open.load(Ordering::Relaxed) > 0 && self.runtime.now() < until {
+            self.runtime.sleep_until(self.runtime.now() + 5000).await;
+        }
+    }
+}
+
+fn spawn(runtime: &Shared, killed: &Receiver<()>, task: chalkgap_runtime::BoxFuture<'static, ()>) {
+    let life: std::pin::Pin<Box<dyn Future<Output = ()> + Send>> =
+        Box::pin(while_alive(killed.clone(), task));
+    runtime.spawn(life).detach();
+}
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,28 @@
+//! The users' platform: an ingress that speaks its protocol (RESP2 over TCP), takes its configuration, follows its
+//! discovery and obeys its signals. It is one more way in and out of the gateway: the driver, the gate and the module
+//! are the same, and every decision on requests is the module's.
+//!
+//! - [`config`]: what the platform tells an ingress
+//! - [`list`]: the list of backends, and which of it is taken
+//! - [`feed`]: HTTP/1.1 as discovery speaks it
+//! - [`request`]: a client's command
+//! - [`session`]: a client's connection
+//! - [`answer`]: a backend's answer
+//! - [`pool`]: which connection an attempt goes by
+//! - [`Ingress`]: all of it, running
+
+pub mod answer;
+mod backend;
+pub mod config;
+mod discovery;
+pub mod feed;
+mod front;
+mod ingress;
+pub mod list;
+mod peers;
+pub mod pool;
+pub mod request;
+pub mod session;
+
+pub use config::{Config, ConfigError};
+pub use ingress::{Ingress, StartError};
--- /dev/null
+++ b/crates/platform/src/list.rs
@@ -0,0 +1,149 @@
+//! Discovery's list of backends, and [`Roster`], which decides what of it the module is told.
+
+use chalkgap_core::{Availability, BackendId, Listed, Micros, RosterKind};
+use serde::Deserialize;
+use std::net::SocketAddr;
+
+/// Backends in one list; more are no list of this platform.
+const MOST: usize = 20_000;
+/// How long an older list than the one held must be all that comes before it is believed: discovery may have begun to
+/// count anew, but far more often an agent is behind. What it has to tell counts as told some seconds after it came.
+const BEHIND: Micros = 3_000_000;
+
+/// A list or changes to it.
+#[derive(Clone, Debug, Deserialize)]
+pub struct List {
+    /// Grows with each change.
+    #[serde(default)]
+    pub seq: u64,
+    /// All backends, or only those that changed.
+    #[serde(default)]
+    pub whole: bool,
+    /// A line for each.
+    pub hosts: Vec<Host>,
+}
+
+/// A backend as listed.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Host {
+    /// Its identity, alike at all ingresses.
+    pub host: String,
+    /// Where it is reached from here.
+    pub dial: SocketAddr,
+    /// Its zone.
+    #[serde(default)]
+    pub site: String,
+    /// The kind of its machine.
+    #[serde(default)]
+    pub class: String,
+    /// Its cell.
+    #[serde(default)]
+    pub block: u16,
+    /// Whether it takes work.
+    pub health: Health,
+    /// Its size.
+    #[serde(default = "one")]
+    pub share: f64,
+    /// When it last started, in milliseconds since 1970; 0 for long ago.
+    #[serde(default)]
+    pub born_ms: u64,
+}
+
+fn one() -> f64 {
+    1.0
+}
+
+/// Whether a backend takes work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Health {
+    /// Yes.
+    Ready,
+    /// It finishes what it has.
+    Draining,
+    /// It was taken away.
+    Gone,
+}
+
+/// A list in the module's words, with where each backend listens.
+pub type Lines = Vec<(Listed, SocketAddr)>;
+
+/// The number of a backend's identity: the same at all ingresses and after every restart.
+pub fn backend(host: &str) -> BackendId {
+    let hash = blake3::hash(host.as_bytes());
+    let mut word = [0; 8];
+    word.copy_from_slice(&hash.as_bytes()[..8]);
+    BackendId(u64::from_le_bytes(word))
+}
+
+/// Takes lists in the order in which they come. Free of I/O and clock.
+pub struct Roster {
+    zones: Vec<String>,
+    kinds: Vec<String>,
+    seq: u64,
+    /// The first of the older lists that came since the last one that was taken.
+    behind: Option<Micros>,
+}
+
+impl Roster {
+    /// A roster that holds nothing yet.
+    pub fn new(zones: Vec<String>, kinds: Vec<String>) -> Self {
+        Roster { zones, kinds, seq: 0, behind: None }
+    }
+
+    /// The version that is held.
+    pub fn seq(&self) -> u64 {
+        self.seq
+    }
+
+    /// The list that an ingress had in an earlier life.
+    pub fn known(&mut self, list: &List) -> (RosterKind, Lines) {
+        self.seq = list.seq;
+        (RosterKind::Cached, self.lines(list))
+    }
+
+    /// A list came. None: it is behind what is held, and would call back what drains or is gone.
+    pub fn take(&mut self, now: Micros, list: &List) -> Option<(RosterKind, Lines)> {
+        if list.hosts.len() > MOST {
+            tracing::warn!(
+                hosts = list.hosts.len(),
+                most = MOST,
+                "list of backends refused, the last one stays"
+            );
+            return None;
+        }
+        if list.seq < self.seq {
+            let since = *self.behind.get_or_insert(now);
+            if !list.whole || now < since + BEHIND {
+                return None;
+            }
+        }
+        (self.seq, self.behind) = (list.seq, None);
+        let kind = if list.whole { RosterKind::Full } else { RosterKind::Delta };
+        Some((kind, self.lines(list)))
+    }
+
+    fn lines(&self, list: &List) -> Lines {
+        let number = |names: &[String], name: &str| names.iter().position(|n| n == name);
+        let line = |h: &Host| {
+            // A zone that the settings do not name is nobody's: told apart from all of theirs.
+            let zone = number(&self.zones, &h.site).unwrap_or(self.zones.len());
+            let kind = number(&self.kinds, &h.class).unwrap_or(self.kinds.len());
+            let listed = Listed {
+                backend: backend(&h.host),
+                zone: zone.min(255) as u8,
+                cell: h.block,
+                kind: kind.min(65_535) as u16,
+                availability: match h.health {
+                    Health::Ready => Availability::Ready,
+                    Health::Draining => Availability::Draining,
+                    Health::Gone => Availability::Gone,
+                },
+                size: h.share,
+                started: h.born_ms.saturating_mul(1000),
+            };
+            (listed, h.dial)
+        };
+        list.hosts.iter().map(line).collect()
+    }
+}
--- a/crates/simhost/src/main.rs
+++ b/crates/simhost/src/main.rs
@@ -1,6 +1,5 @@
 //! The adapter between the simulator's wire and the decision module. Translation only.
 
-mod conf;
 mod wire;
 
 use chalkgap_core::{Action, Event, Gateway};
@@ -44,9 +43,9 @@
             let event = match record.decode(&fields)? {
                 None => continue,
                 Some(wire::Decoded::Start { instance, seed, conf }) => {
-                    let (settings, names) = conf::parse(conf).map_err(|e| record.error("conf", &e))?;
-                    fields.insert(instance, names);
-                    gateways.insert(instance, Gateway::new(settings, seed, batch.clock));
+                    let terms = chalkgap_terms::parse(conf).map_err(|e| record.error("conf", &e))?;
+                    fields.insert(instance, terms.report);
+                    gateways.insert(instance, Gateway::new(terms.settings, seed, batch.clock));
                     continue;
                 }
                 Some(wire::Decoded::Stop { instance }) => {
--- a/crates/simhost/src/wire.rs
+++ b/crates/simhost/src/wire.rs
@@ -139,21 +139,9 @@
 
     fn report(&self, at: usize, fields: &[String]) -> Option<Report> {
         let n = usize::from(self.body[at]).min(4);
-        let mut report = Report::default();
-        for (i, name) in fields.iter().enumerate().take(n) {
-            let value = f32_at(self.body, at + 1 + 4 * i);
-            let value = value.is_finite().then_some(value);
-            match name.as_str() {
-                "concurrent" => report.in_flight = value,
-                "depth" => report.queue = value,
-                "load_share" => report.util = value,
-                "mean_ms" => report.latency_ms = value,
-                "tps" => report.served = value,
-                "err_ps" => report.errors = value,
-                _ => {}
-            }
-        }
-        (n > 0).then_some(report)
+        let values = fields.iter().take(n).enumerate();
+        let values = values.map(|(i, name)| (name.as_str(), f32_at(self.body, at + 1 + 4 * i)));
+        (n > 0).then(|| chalkgap_terms::report(values.filter(|v| v.1.is_finite())))
     }
 
     fn roster(&self) -> Result<Event, String> {
--- a/crates/simhost/src/conf.rs
+++ b/crates/terms/src/conf.rs
@@ -1,15 +1,42 @@
-//! Reads the settings text into [`Settings`]. Unknown keys are skipped, missing or bad ones named.
+//! Keys with dots to values as text, and what is read out of them.
 
 use chalkgap_core::{
-    Class, Discovery, GatewayNo, Group, Limits, Micros, Plan, Repeat, Rules, Settings, SizeMeaning,
+    Class, Discovery, GatewayNo, Group, Limits, Micros, Plan, Repeat, Report, Rules, Settings, SizeMeaning,
 };
+use serde_json::Value;
 use std::collections::HashMap;
 
-struct Conf<'a>(HashMap<&'a str, &'a str>);
+/// The settings, and what hosts besides the module need of them.
+#[derive(Clone, Debug, Default)]
+pub struct Terms {
+    /// What the module is told.
+    pub settings: Settings,
+    /// The names of the values in a load report; none where answers hold none.
+    pub report: Vec<String>,
+    /// The names of classes and plans, in their order.
+    pub classes: Vec<String>,
+    /// See `classes`.
+    pub plans: Vec<String>,
+    /// The names of zones and of kinds of machines, in their order.
+    pub zones: Vec<String>,
+    /// See `zones`.
+    pub kinds: Vec<String>,
+    /// The most units that a request counts.
+    pub most_units: f64,
+    /// Idle connections to backends are closed after this long, at the latest.
+    pub keepalive: Micros,
+    /// A connection still not made after this is not made.
+    pub connect_timeout: Micros,
+}
+
+/// Values under deeper keys than this are no settings.
+const DEEPEST: usize = 8;
 
-impl<'a> Conf<'a> {
-    fn text(&self, key: &str) -> Result<&'a str, String> {
-        self.0.get(key).copied().ok_or_else(|| format!("setting {key} is missing"))
+struct Conf(HashMap<String, String>);
+
+impl Conf {
+    fn text(&self, key: &str) -> Result<&str, String> {
+        self.0.get(key).map(String::as_str).ok_or_else(|| format!("setting {key} is missing"))
     }
 
     fn number(&self, key: &str) -> Result<f64, String> {
@@ -61,6 +88,15 @@
         Ok(count)
     }
 
+    /// A comma-joined list.
+    fn list(&self, key: &str) -> Result<Vec<String>, String> {
+        Ok(self.text(key)?.split(',').filter(|n| !n.is_empty()).map(String::from).collect())
+    }
+
+    fn names(&self, list: &str) -> Result<Vec<String>, String> {
+        (0..self.count(list)?).map(|i| self.text(&format!("{list}.{i}.name")).map(String::from)).collect()
+    }
+
     fn class(&self, i: u64) -> Result<Class, String> {
         let key = |name: &str| format!("grades.{i}.{name}");
         let repeat = match self.text(&key("effect"))? {
@@ -104,15 +140,84 @@
     }
 }
 
-/// The settings, and the names of the values in a load report.
-pub fn parse(text: &str) -> Result<(Settings, Vec<String>), String> {
+/// Reads lines of `path=value`.
+///
+/// # Errors
+/// A line or key that is missing or not of its form, by name.
+pub fn parse(text: &str) -> Result<Terms, String> {
     let mut map = HashMap::new();
     for (at, line) in text.lines().enumerate().filter(|(_, line)| !line.is_empty()) {
         let (key, value) =
             line.split_once('=').ok_or_else(|| format!("line {} of the settings has no '='", at + 1))?;
-        map.insert(key, value);
+        map.insert(key.to_owned(), value.to_owned());
+    }
+    read(&Conf(map))
+}
+
+/// Reads the same as nested JSON: lists of objects give their length and their items by number, lists of plain values
+/// are joined by commas.
+///
+/// # Errors
+/// A key that is missing or not of its form, by name.
+pub fn from_json(value: &Value) -> Result<Terms, String> {
+    let mut map = HashMap::new();
+    flatten(value, String::new(), 0, &mut map)?;
+    read(&Conf(map))
+}
+
+fn flatten(
+    value: &Value,
+    path: String,
+    depth: usize,
+    map: &mut HashMap<String, String>,
+) -> Result<(), String> {
+    if depth > DEEPEST {
+        return Err(format!("setting {path} is nested too deep"));
     }
-    let conf = Conf(map);
+    let under = |key: &str| if path.is_empty() { key.to_owned() } else { format!("{path}.{key}") };
+    match value {
+        Value::Null => {}
+        Value::Bool(b) => drop(map.insert(path, b.to_string())),
+        Value::Number(n) => drop(map.insert(path, n.to_string())),
+        Value::String(s) => drop(map.insert(path, s.clone())),
+        Value::Object(o) => {
+            for (key, v) in o {
+                flatten(v, under(key), depth + 1, map)?;
+            }
+        }
+        Value::Array(list) if list.iter().any(Value::is_object) => {
+            map.insert(under("count"), list.len().to_string());
+            for (n, v) in list.iter().enumerate() {
+                flatten(v, under(&n.to_string()), depth + 1, map)?;
+            }
+        }
+        Value::Array(list) => {
+            let plain = |v: &Value| v.as_str().map_or_else(|| v.to_string(), String::from);
+            map.insert(path, list.iter().map(plain).collect::<Vec<_>>().join(","));
+        }
+    }
+    Ok(())
+}
+
+/// Puts values of a load report, named as the settings name them, into the module's form. Unknown names are skipped.
+pub fn report<'n>(values: impl IntoIterator<Item = (&'n str, f64)>) -> Report {
+    let mut report = Report::default();
+    for (name, value) in values {
+        let place = match name {
+            "concurrent" => &mut report.in_flight,
+            "depth" => &mut report.queue,
+            "load_share" => &mut report.util,
+            "mean_ms" => &mut report.latency_ms,
+            "tps" => &mut report.served,
+            "err_ps" => &mut report.errors,
+            _ => continue,
+        };
+        *place = Some(value);
+    }
+    report
+}
+
+fn read(conf: &Conf) -> Result<Terms, String> {
     let classes = (0..conf.count("grades")?).map(|i| conf.class(i)).collect::<Result<Vec<_>, _>>()?;
     let plans = (0..conf.count("contracts")?).map(|i| conf.plan(i)).collect::<Result<Vec<_>, _>>()?;
     let settings = Settings {
@@ -157,14 +262,21 @@
         meter_period: conf.micros("family_info.meter_period_us")?,
         post_paid: conf.flag("family_info.post_paid")?,
     };
-    let names = match conf.text("reporting.how")? {
+    let report = match conf.text("reporting.how")? {
         "none" => Vec::new(),
-        _ => {
-            let listed = conf.text("reporting.fields")?;
-            listed.split(',').filter(|n| !n.is_empty()).map(String::from).collect()
-        }
+        _ => conf.list("reporting.fields")?,
     };
-    Ok((settings, names))
+    Ok(Terms {
+        settings,
+        report,
+        classes: conf.names("grades")?,
+        plans: conf.names("contracts")?,
+        zones: conf.list("zones")?,
+        kinds: conf.list("skus")?,
+        most_units: conf.number("family_info.most_units")?,
+        keepalive: conf.micros("limits.keepalive_us")?,
+        connect_timeout: conf.micros("limits.connect_timeout_us")?,
+    })
 }
 
 #[cfg(test)]
