--- a/crates/platform/src/backend.rs
+++ b/crates/platform/src/backend.rs
@@ -147,7 +147,10 @@
         idle_since: 0,
     };
     while let Some(call) = link.next(&world, number).await {
+        let idle = link.stream.is_some().then(|| world.runtime.now() - link.idle_since);
+        let t0 = world.runtime.now();
         let answered = link.carry(&world, address, &call).await;
+        tracing::debug!(outcome = ?answered.outcome, idle = idle.map_or(-1, |i| i as i64), took = world.runtime.now() - t0, usable = answered.usable, "DBG");
         if answered.usable {
             link.idle_since = world.runtime.now();
         } else {
--- a/crates/platform/src/front.rs
+++ b/crates/platform/src/front.rs
@@ -98,11 +98,10 @@
 
 impl Client {
     async fn serve(mut self, mut pipe: ClientPipe) {
-        let mut shaken = false;
         loop {
             let drain = self.door.draining.load(Ordering::Relaxed);
             let overtime = (drain > 0).then_some(drain + OVERTIME);
-            let silent = (!shaken).then_some(self.began + PATIENCE);
+            let silent = (pipe.conn.commands() == 0 && !pipe.conn.stopped()).then_some(self.began + PATIENCE);
             let half = self.partial.map(|p| p + PATIENCE);
             let unread = pipe.backlog().map(|b| b.0 + UNREAD);
             let until = [overtime, silent, half, unread].into_iter().flatten().min();
@@ -131,16 +130,22 @@
                         break;
                     } else if due(half) || due(silent) {
                         add(&self.door.telemetry.too_slow);
-                        shaken = true;
                         pipe.conn.fail("ERR no whole command in time");
                     }
                 }
                 Turn::Bad(never) => match never {},
                 Turn::Closed => break,
             }
-            shaken = self.heard(&mut pipe.conn, shaken).await;
+            let before = pipe.conn.commands();
+            self.heard(&mut pipe.conn).await;
+            if before == 0 && pipe.conn.commands() > 0 {
+                self.pass.handshaken();
+            }
+            // Who sends without a pause always has the beginning of the next command here: only one that does not grow
+            // whole is half a command.
             self.partial = match pipe.conn.partial() && pipe.conn.reads() {
-                true => self.partial.or_else(|| Some(self.door.runtime.now())),
+                true if before == pipe.conn.commands() => self.partial.or(Some(self.door.runtime.now())),
+                true => Some(self.door.runtime.now()),
                 false => None,
             };
             if pipe.conn.over() {
@@ -152,17 +157,12 @@
         self.leave().await;
     }
 
-    /// Takes what can be taken of what the client has sent; whether it has asked anything by now.
-    async fn heard(&mut self, session: &mut Session, shaken: bool) -> bool {
-        let mut shaken = shaken;
+    /// Takes what can be taken of what the client has sent.
+    async fn heard(&mut self, session: &mut Session) {
         loop {
             let open = self.door.open.clone();
             let take = move |id| open.lock().unwrap_or_else(PoisonError::into_inner).insert(id);
             let Some(Heard { token, request }) = session.next(take) else { break };
-            if !shaken {
-                shaken = true;
-                self.pass.handshaken();
-            }
             self.pass.request();
             let id = request.id;
             let ask = self.door.ask(token, request, self.reply.clone());
@@ -172,11 +172,6 @@
                 break;
             }
         }
-        if !shaken && session.spoken() {
-            shaken = true;
-            self.pass.handshaken();
-        }
-        shaken
     }
 
     fn answered(&mut self, reply: Reply, session: &mut Session) {
--- a/crates/platform/src/pool.rs
+++ b/crates/platform/src/pool.rs
@@ -54,8 +54,8 @@
         Pool { most, links: HashMap::new(), idle: HashMap::new(), oldest: BTreeSet::new(), next: 1 }
     }
 
-    /// How many there are.
-    pub fn len(&self) -> usize {
+    /// How many connections there are.
+    pub fn count(&self) -> usize {
         self.links.len()
     }
 
--- a/crates/platform/src/session.rs
+++ b/crates/platform/src/session.rs
@@ -34,8 +34,8 @@
     first: u32,
     /// Nothing more is read: the client broke the form, or is not to ask any more.
     over: bool,
-    /// A whole command came.
-    spoken: bool,
+    /// Whole commands that came.
+    commands: u64,
 }
 
 /// A command that needs somebody else's word.
@@ -73,7 +73,7 @@
     /// A new connection.
     pub fn new(grammar: Arc<Grammar>) -> Self {
         let (input, output, slots) = (BytesMut::new(), BytesMut::new(), VecDeque::new());
-        Session { grammar, input, output, slots, first: 0, over: false, spoken: false }
+        Session { grammar, input, output, slots, first: 0, over: false, commands: 0 }
     }
 
     /// The next request. `take` reserves its id, or says why it may not be had; all that can be answered without
@@ -88,7 +88,7 @@
                     break;
                 }
             };
-            self.spoken = true;
+            self.commands += 1;
             if command.words.len() == 1 && command.words[0].eq_ignore_ascii_case(b"PING") {
                 self.slots.push_back(Slot::Done(Bytes::from_static(b"+PONG\r\n")));
                 continue;
@@ -154,9 +154,9 @@
         !self.input.is_empty()
     }
 
-    /// Whether a whole command ever came.
-    pub fn spoken(&self) -> bool {
-        self.spoken
+    /// How many whole commands came.
+    pub fn commands(&self) -> u64 {
+        self.commands
     }
 
     /// Whether nothing is owed.
--- /dev/null
+++ b/crates/platform/tests/machines.rs
@@ -0,0 +1,323 @@
+//! The platform's machines without a socket: grammar, session, answers, pool, list, feed.
+
+use bytes::{Bytes, BytesMut};
+use chalkgap::doors::Answer;
+use chalkgap_core::{BackendId, Outcome, RosterKind};
+use chalkgap_pipe::Machine;
+use chalkgap_platform::answer::take;
+use chalkgap_platform::feed::{Feed, FeedError};
+use chalkgap_platform::list::{backend, List, Roster};
+use chalkgap_platform::pool::{Pool, Way};
+use chalkgap_platform::request::{Grammar, Invalid};
+use chalkgap_platform::session::{Session, MOST_OPEN};
+use chalkgap_platform::Config;
+use chalkgap_resp::{command, put_command, Command, Limits};
+use proptest::prelude::*;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+mod common;
+
+const QUERY: &str = "c=sig-check,t=team,d=480,units=2,spread=3,first=1";
+const SUBMIT: &str = "c=report-upload,t=team,d=7500,k=5c0f6e1a2b3d4c59,units=1,spread=1,first=0";
+const CUSTOMER: &str = "00000000b4d65521";
+const ID: &str = "9b1f03aa5c7e2d41";
+
+fn grammar() -> Grammar {
+    let config = Config::parse("test", common::config(3, 0, &[]).as_bytes()).unwrap();
+    Grammar::new(&config.terms)
+}
+
+fn words(list: &[&str]) -> Command {
+    Command { words: list.iter().map(|w| Bytes::copy_from_slice(w.as_bytes())).collect() }
+}
+
+fn written(list: &[&str]) -> BytesMut {
+    let mut out = BytesMut::new();
+    put_command(&mut out, &list.iter().map(|w| w.as_bytes()).collect::<Vec<_>>());
+    out
+}
+
+#[test]
+fn requests_are_read_and_sent_on_with_the_time_that_is_left() {
+    let request = grammar().read(words(&["SVC.QUERY", CUSTOMER, ID, QUERY])).unwrap();
+    assert_eq!((request.customer, request.id), (0xb4d6_5521, 0x9b1f_03aa_5c7e_2d41));
+    assert_eq!((request.class, request.plan, request.wait), (0, 1, 480_000));
+    assert_eq!((request.units, request.width, request.first), (2.0, 3.0, 1.0));
+    let mut out = BytesMut::new();
+    request.work.put(&mut out, 77);
+    assert_eq!(out, written(&["SVC.QUERY", CUSTOMER, ID, &QUERY.replace("d=480", "d=77")]));
+    let request = grammar().read(words(&["SVC.SUBMIT", CUSTOMER, ID, SUBMIT, "body"])).unwrap();
+    let mut out = BytesMut::new();
+    request.work.put(&mut out, 12_345);
+    assert_eq!(out, written(&["SVC.SUBMIT", CUSTOMER, ID, &SUBMIT.replace("d=7500", "d=12345"), "body"]));
+}
+
+#[test]
+fn what_is_no_request_is_named() {
+    let g = grammar();
+    let query = |list: &str| g.read(words(&["SVC.QUERY", CUSTOMER, ID, list])).unwrap_err();
+    let with = |from: &str, to: &str| query(&QUERY.replace(from, to));
+    assert_eq!(g.read(words(&["GET", "x"])).unwrap_err(), Invalid::Command);
+    assert_eq!(g.read(words(&["SVC.QUERY", CUSTOMER, ID])).unwrap_err(), Invalid::Words);
+    for customer in ["", "b4d65521", "0000000200000000", "00000000b4d6552g", "-0000000b4d65521"] {
+        assert_eq!(g.read(words(&["SVC.QUERY", customer, ID, QUERY])).unwrap_err(), Invalid::Customer);
+    }
+    for id in ["", "1", "9b1f03aa5c7e2d411", "+b1f03aa5c7e2d41"] {
+        assert_eq!(g.read(words(&["SVC.QUERY", CUSTOMER, id, QUERY])).unwrap_err(), Invalid::Id);
+    }
+    assert_eq!(with("sig-check", "nothing"), Invalid::Class);
+    assert_eq!(with("sig-check", "report-upload"), Invalid::Class, "not by a query");
+    assert_eq!(with("team", "gold"), Invalid::Plan);
+    for d in ["-1", "", "x", "1e9", "4.5", "9999999999999999999"] {
+        assert_eq!(with("480", d), Invalid::Deadline, "{d}");
+    }
+    for units in ["0", "-2", "3", "1e1", "nan", "inf", "", "2000000000000000000"] {
+        assert_eq!(with("units=2", &format!("units={units}")), Invalid::Units, "{units}");
+    }
+    for set in ["0", "4", "1.5", "x", ""] {
+        assert_eq!(with("spread=3", &format!("spread={set}")), Invalid::Set, "{set}");
+    }
+    assert_eq!(with("first=1", "first=3"), Invalid::Set);
+    assert_eq!(with(",first=1", ""), Invalid::Set);
+    assert_eq!(with("first=1", "first=1,first=1"), Invalid::List, "twice");
+    assert_eq!(with("first=1", "first=1,more=1"), Invalid::List);
+    assert_eq!(with("first=1", "first=1,k=5c0f6e1a2b3d4c59"), Invalid::Key, "no keyed class");
+    assert_eq!(query(&"x".repeat(600)), Invalid::List);
+    let submit = |list: &str| g.read(words(&["SVC.SUBMIT", CUSTOMER, ID, list, "b"])).unwrap_err();
+    assert_eq!(submit(&SUBMIT.replace("5c0f6e1a2b3d4c59", "5c")), Invalid::Key);
+    assert_eq!(submit(&SUBMIT.replace("k=5c0f6e1a2b3d4c59,", "")), Invalid::Key);
+}
+
+fn hear(session: &mut Session, bytes: &[u8]) -> Vec<u32> {
+    let Ok(()) = session.receive(0, bytes);
+    std::iter::from_fn(|| session.next(|_| true)).map(|h| h.token).collect()
+}
+
+fn served(text: &'static str) -> Answer {
+    Answer::Served { body: Bytes::from(text), node: SocketAddr::from(([127, 0, 0, 1], 1)) }
+}
+
+#[test]
+fn answers_follow_the_order_of_the_commands() {
+    let mut session = Session::new(Arc::new(grammar()));
+    let mut bytes = written(&["SVC.QUERY", CUSTOMER, ID, QUERY]);
+    bytes.extend_from_slice(&written(&["PING"]));
+    bytes.extend_from_slice(&written(&["SVC.QUERY", CUSTOMER, "000000000000000a", QUERY]));
+    bytes.extend_from_slice(b"*1\r\n$99999999\r\n");
+    let tokens = hear(&mut session, &bytes);
+    assert_eq!(tokens.len(), 2);
+    assert_eq!(session.waiting().map(|w| w.1).collect::<Vec<_>>(), [0x9b1f_03aa_5c7e_2d41, 10]);
+    assert!(!session.reads(), "what follows a broken command is nobody's");
+    assert_eq!(session.answered(tokens[1], Answer::Refused { pause: 1500 }), Some(10));
+    assert!(session.output().is_empty(), "it is not its turn");
+    assert!(!session.over(), "earlier requests still get their answers");
+    session.answered(tokens[0], served("value"));
+    let text = String::from_utf8(session.output().to_vec()).unwrap();
+    assert!(text.starts_with("$5\r\nvalue\r\n+PONG\r\n-BUSY 2\r\n-ERR unreadable command: byte 5"), "{text}");
+    assert!(session.over());
+    assert_eq!(session.answered(tokens[0], served("again")), None, "answered once");
+}
+
+#[test]
+fn a_client_that_sends_hundreds_at_once_waits_and_an_open_id_is_taken_once() {
+    let mut session = Session::new(Arc::new(grammar()));
+    let many = written(&["SVC.QUERY", CUSTOMER, ID, QUERY]).repeat(200);
+    assert_eq!(hear(&mut session, &many).len(), MOST_OPEN);
+    assert!(!session.reads());
+    session.answered(0, served("v"));
+    assert_eq!(hear(&mut session, b"").len(), 1, "one more for each answer");
+    let mut session = Session::new(Arc::new(grammar()));
+    let Ok(()) = session.receive(0, &written(&["SVC.QUERY", CUSTOMER, ID, QUERY]));
+    assert!(session.next(|_| false).is_none());
+    assert_eq!(&session.output()[..], b"-ERR id: a request of this id is open\r\n");
+}
+
+fn answer(bytes: &[u8]) -> Option<(Outcome, String, Option<f64>, bool)> {
+    let found = take(&mut BytesMut::from(bytes), &["depth".to_owned()])?;
+    let value = String::from_utf8(found.value.to_vec()).unwrap();
+    Some((found.outcome, value, found.report.and_then(|r| r.queue), found.usable))
+}
+
+#[test]
+fn answers_and_what_is_spoilt() {
+    let good = b"*3\r\n$5\r\nvalue\r\n$-1\r\n$7\r\ndepth=2\r\n";
+    assert_eq!(answer(good), Some((Outcome::Ok, "value".into(), Some(2.0), true)));
+    assert_eq!(answer(&good[..good.len() - 1]), None);
+    assert_eq!(answer(b"-BUSY\r\n"), Some((Outcome::Full, String::new(), None, true)));
+    assert_eq!(answer(b"-ERR failed depth=3\r\n"), Some((Outcome::Error, String::new(), Some(3.0), true)));
+    // Good, and more than belongs to it: the answer stands, the connection is done.
+    assert_eq!(answer(&good.repeat(2)), Some((Outcome::Ok, "value".into(), Some(2.0), false)));
+    assert_eq!(
+        answer(&[&good[..], b"noise"].concat()),
+        Some((Outcome::Ok, "value".into(), Some(2.0), false))
+    );
+    // A report or figures that cannot be read take nothing from it.
+    for report in ["depth=x", "depth=nan", "depth=-1", "what", "depth=1,other=2"] {
+        let bytes = format!("*3\r\n$5\r\nvalue\r\n$2\r\n?!\r\n${}\r\n{report}\r\n", report.len());
+        assert_eq!(answer(bytes.as_bytes()), Some((Outcome::Ok, "value".into(), None, true)), "{report}");
+    }
+    let spoilt = Some((Outcome::Reset, String::new(), None, false));
+    for bytes in [
+        &b"noise"[..],
+        b"$3000000000\r\nxx",
+        b"*3\r\n$-1\r\n$-1\r\n$-1\r\n",
+        b"*3\r\n$4\r\nvalue\r\n$-1\r\n$-1\r\n",
+        b"*-1\r\n",
+        b"*0\r\n",
+        b":1\r\n",
+        b"+OK\r\n",
+        b"$5\r\nvalue\r\n",
+        b"-MOVED 1\r\n",
+        &[b'-'; 600],
+    ] {
+        assert_eq!(answer(bytes), spoilt, "{bytes:?}");
+    }
+}
+
+const A: BackendId = BackendId(1);
+const B: BackendId = BackendId(2);
+
+fn at(port: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], port))
+}
+
+#[test]
+fn the_connection_used_last_goes_first_after_a_rest() {
+    let mut pool = Pool::new(8);
+    let open = |way| match way {
+        Way::Open { number, close: None } => number,
+        other => panic!("{other:?}"),
+    };
+    let (one, two) = (open(pool.take(0, A, at(1))), open(pool.take(0, A, at(1))));
+    assert!(pool.free(1_000_000, one) && pool.free(1_100_000, two));
+    let three = open(pool.take(1_100_000, B, at(2)));
+    assert_eq!(
+        pool.take(1_101_000, A, at(1)),
+        Way::Reuse(one),
+        "the other rests: noise may follow its answer"
+    );
+    assert_eq!(pool.take(1_200_000, A, at(1)), Way::Reuse(two));
+    pool.free(1_300_000, two);
+    assert!(!pool.closed(one), "it carries a request, and ends with it");
+    assert!(!pool.free(1_300_000, one));
+    assert_eq!(pool.retain(&|b| b == B), [two]);
+    assert_eq!(pool.count(), 1);
+    // A backend that is reached elsewhere by now is not asked where it was.
+    pool.free(1_400_000, three);
+    open(pool.take(2_000_000, B, at(3)));
+    assert_eq!(pool.count(), 1);
+}
+
+#[test]
+fn a_full_pool_closes_what_is_idle_and_says_when_nothing_is() {
+    let mut pool = Pool::new(2);
+    pool.take(0, A, at(1));
+    pool.take(0, A, at(1));
+    assert_eq!(pool.take(0, B, at(2)), Way::Full);
+    pool.free(5, 2);
+    assert_eq!(pool.take(6, B, at(2)), Way::Open { number: 3, close: Some(2) });
+    assert_eq!(pool.take(7, B, at(2)), Way::Full);
+    assert_eq!(pool.count(), 2);
+}
+
+fn list(seq: u64, whole: bool, hosts: &[(&str, &str)]) -> List {
+    let host = |(n, (host, health)): (usize, &(&str, &str))| {
+        format!(
+            r#"{{"host":"{host}","dial":"127.0.0.1:{}","site":"b","class":"k","block":3,"health":"{health}",
+                "share":2.5,"born_ms":7,"new_field":1}}"#,
+            n + 1
+        )
+    };
+    let hosts: Vec<String> = hosts.iter().enumerate().map(host).collect();
+    serde_json::from_str(&format!(r#"{{"seq":{seq},"whole":{whole},"hosts":[{}]}}"#, hosts.join(",")))
+        .unwrap()
+}
+
+#[test]
+fn lists_that_are_behind_call_nothing_back() {
+    let mut roster = Roster::new(vec!["a".into(), "b".into()], vec!["k".into()]);
+    let (kind, lines) = roster.take(0, &list(41, true, &[("s-1", "ready"), ("s-2", "draining")])).unwrap();
+    assert_eq!((kind, lines.len()), (RosterKind::Full, 2));
+    let (l, address) = lines[0];
+    assert_eq!((l.backend, address, l.zone, l.kind, l.cell), (backend("s-1"), at(1), 1, 0, 3));
+    assert_eq!((l.size, l.started), (2.5, 7000));
+    assert_eq!(roster.take(1, &list(42, false, &[("s-1", "gone")])).unwrap().0, RosterKind::Delta);
+    // An agent that is behind would bring back what drains.
+    assert!(roster.take(2, &list(40, true, &[("s-1", "ready"), ("s-2", "ready")])).is_none());
+    assert!(roster.take(3, &list(41, false, &[("s-2", "ready")])).is_none());
+    assert_eq!(roster.seq(), 42);
+    assert!(roster.take(2_000_000, &list(40, true, &[])).is_none());
+    // All that comes for seconds: discovery counts anew.
+    assert!(roster.take(3_000_002, &list(2, true, &[("s-3", "ready")])).is_some());
+    assert_eq!(roster.seq(), 2);
+}
+
+fn feed(bytes: &[u8], cut: usize) -> Result<Vec<String>, FeedError> {
+    let mut feed = Feed::default();
+    let mut lines = Vec::new();
+    let text = |b: Bytes| String::from_utf8_lossy(&b).into_owned();
+    for piece in bytes.chunks(cut) {
+        feed.push(piece)?;
+        lines.extend(std::iter::from_fn(|| feed.line()).map(text));
+    }
+    lines.extend(feed.rest(true).filter(|r| !r.is_empty()).map(text));
+    Ok(lines)
+}
+
+#[test]
+fn discovery_is_read_in_any_pieces() {
+    let chunked = b"HTTP/1.1 103 Early\r\nA: b\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n\
+        4\r\none\n\r\n6;x=1\r\ntwo\nth\r\n4\r\nree\n\r\n0\r\n\r\n";
+    let plain = b"HTTP/1.1 200 OK\r\ncontent-length: 8\r\n\r\none\ntwo\nmore";
+    let close = b"HTTP/1.1 200 OK\r\n\r\none\ntwo";
+    for cut in 1..80 {
+        assert_eq!(feed(chunked, cut).unwrap(), ["one", "two", "three"]);
+        assert_eq!(feed(plain, cut).unwrap(), ["one", "two"]);
+        assert_eq!(feed(close, cut).unwrap(), ["one", "two"]);
+    }
+    assert_eq!(feed(b"HTTP/1.1 503 No\r\n\r\n", 9), Err(FeedError::Status(503)));
+    assert_eq!(feed(b"nonsense\r\n\r\n", 9), Err(FeedError::Head));
+    assert_eq!(feed(&[b'x'; 20_000], 999), Err(FeedError::Head));
+    let broken = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\nzz\r\n";
+    assert_eq!(feed(broken, 7), Err(FeedError::Chunk));
+}
+
+#[test]
+fn what_is_wrong_with_a_configuration_is_named() {
+    let said = |text: &str| Config::parse("c.json", text.as_bytes()).unwrap_err().to_string();
+    let good = common::config(3, 0, &[]);
+    assert!(said("{").starts_with("c.json: EOF"));
+    assert!(said(&good.replace("\"discovery\"", "\"x\"")).contains("missing field `discovery`"));
+    assert!(said(&good.replace("\"seed\":\"8c", "\"seed\":\"xx")).contains("seed: expected 16 hex"));
+    assert!(said(&good.replace("\"sockets\":256", "\"sockets\":9"))
+        .contains("sockets: expected 64 or more, found 9"));
+    assert!(
+        said(&good.replace("\"quota_rate\":2.0", "\"quota_rate\":-2.0")).contains("contracts.0.quota_rate")
+    );
+    let config = Config::parse("c.json", good.as_bytes()).unwrap();
+    assert_eq!(config.terms.classes, ["sig-check", "report-upload"]);
+    assert_eq!(config.terms.settings.plans[0].rate, 2.0);
+    assert_eq!(config.terms.report, ["depth"]);
+}
+
+proptest! {
+    #[test]
+    fn no_bytes_panic(bytes in proptest::collection::vec(any::<u8>(), 0..300), cut in 1usize..40) {
+        let _ = feed(&bytes, cut);
+        let _ = feed(&[&b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"[..], &bytes].concat(), cut);
+        let _ = answer(&[&b"*3\r\n$1\r\nv\r\n$-1\r\n"[..], &bytes].concat());
+        let mut session = Session::new(Arc::new(grammar()));
+        bytes.chunks(cut).for_each(|piece| drop(hear(&mut session, piece)));
+    }
+
+    #[test]
+    fn any_list_is_read_or_named(list in "[a-z=,0-9.]{0,60}", id in "[0-9a-f]{16}") {
+        if let Ok(request) = grammar().read(words(&["SVC.QUERY", CUSTOMER, &id, &list])) {
+            let mut out = BytesMut::new();
+            request.work.put(&mut out, 1);
+            let limits = Limits { elements: 8, depth: 1, bulk: 1 << 16, line: 24, whole: 1 << 17 };
+            prop_assert!(command(&mut out, &limits).unwrap().is_some());
+        }
+    }
+}
