Retries cost what the broken attempt had done; worn idle connections are not used

Checked on the sockets: one attempt in six ended as a reset. By the age of the connection: 4% of requests broke at once on new ones and on those idle for under 100 ms, 29% on older ones; the rest were broken answers and resets under way. A trace of the module: 373 further attempts were not made, all for want of budget (control.rs, again), none for time, class or rung. Ruled out: the ladder (never moved), health, places.

Change: Pool learns by age what became of requests on idle connections and takes a new one where that is clearly better. The module charges a further attempt what the broken one before it had done, by the class's calm time, a fifth at least; what was turned away or late costs in full as before. It should also serve where backends fail fast. Harm: a fleet that breaks what it is sent under load sees up to five times the repeats, each of little work.

--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -28,6 +28,7 @@
 const SILENCE: f64 = 0.35; // share of an aim after which an attempt at a silent backend is repeated elsewhere
 const HEDGE: f64 = 0.6; // the same at a backend that talks
 const RETRY_SHARE: f64 = 0.1; // further attempts per first attempt: retries cannot feed an overload
+const RETRY_LEAST: f64 = 0.2; // least that one costs after an attempt that broke before it had done much
 const RETRY_STORE: f64 = 30.0; // and the fleet's store of them: ten at each of many gateways is a storm
 const COLD_MARGIN: f64 = 0.6; // part of the rule's budget spent on a cold backend: the rest is for chance
 const SUBSET: usize = 32; // backends that a sliver of the load goes to: each once in a few seconds
@@ -600,8 +601,15 @@
         o.done |= complete || outcome == Outcome::Ok;
         if o.done {
             self.on_gone(id, act);
-        } else if o.out() == 0 && !self.again(id, act) {
-            self.finish(id, act);
+        } else if o.out() == 0 {
+            // What broke early did little work: its repeat takes its place rather than adding to the load. Without
+            // this, networks that break one in six connections use up the budget. Turned away or late: in full.
+            let early = matches!(outcome, Outcome::Error | Outcome::Reset | Outcome::ConnectFailed);
+            let usual = class.map_or(0.0, |k| self.usual[k].calm).max(1.0);
+            let cost = if early { (took as f64 / usual).clamp(RETRY_LEAST, 1.0) } else { 1.0 };
+            if !self.again(id, cost, act) {
+                self.finish(id, act);
+            }
         }
         if news {
             self.report(customer, false, act);
@@ -610,15 +618,15 @@
     }
 
     /// Tries a further attempt, where the class, the time and the budget allow one.
-    fn again(&mut self, id: RequestId, act: &mut Vec<Action>) -> bool {
+    fn again(&mut self, id: RequestId, cost: f64, act: &mut Vec<Action>) -> bool {
         let o = &self.requests[&id];
         let class = &self.s.classes[usize::from(o.req.class)];
         let allowed = class.repeat != Repeat::Once || o.may_have_run().is_none();
         let useful = self.now + self.s.tick < (o.arrived + class.aim).min(o.req.deadline);
         let room = (o.attempts.len() as u32) < self.s.limits.max_attempts;
         let single = o.out() == 0 || self.s.limits.second_copies;
-        let sent = allowed && useful && room && single && self.retries >= 1.0 && self.send(id, act);
-        self.retries -= f64::from(u8::from(sent));
+        let sent = allowed && useful && room && single && self.retries >= cost && self.send(id, act);
+        self.retries -= if sent { cost } else { 0.0 };
         sent
     }
 
@@ -727,7 +735,7 @@
             return self.checks.push(Reverse((hedge_at, id)));
         }
         if hedge && self.s.limits.second_copies {
-            self.again(id, act);
+            self.again(id, 1.0, act);
         }
     }
 
--- a/crates/gateway/src/driver.rs
+++ b/crates/gateway/src/driver.rs
@@ -122,8 +122,13 @@
     Gone(RequestId),
     /// An attempt ended.
     Ended(Box<Ended>),
-    /// A connection to a node has ended while no attempt was out on it.
-    LinkClosed(u64),
+    /// A connection to a node has ended, or will with the attempt that is out on it.
+    LinkClosed {
+        /// Its number.
+        link: u64,
+        /// It broke as soon as it was written to.
+        broke: bool,
+    },
     /// A message of a peer.
     Peer {
         /// The sender's number.
@@ -176,8 +181,8 @@
     fn stop(&mut self, link: u64, id: RequestId, attempt: u16);
     /// A call of this connection has ended.
     fn ended(&mut self, link: u64);
-    /// The connection has ended.
-    fn closed(&mut self, _link: u64) {}
+    /// The connection has ended, or will with the attempt that is out on it; `broke`: as soon as it was written to.
+    fn closed(&mut self, _link: u64, _broke: bool) {}
     /// Forgets nodes that are not listed: their connections end with their last call.
     fn retain(&mut self, listed: &dyn Fn(BackendId) -> bool);
     /// Closes the idle connections to a node.
@@ -355,7 +360,7 @@
             Input::Ask(ask) => self.ask(ask),
             Input::Gone(id) => self.gone(id),
             Input::Ended(ended) => self.ended(*ended),
-            Input::LinkClosed(link) => self.links.closed(link),
+            Input::LinkClosed { link, broke } => self.links.closed(link, broke),
             Input::Peer { from, bytes } => {
                 add(&self.telemetry.peer_in);
                 self.handle(Event::Peer { from: GatewayNo(from), bytes });
--- a/crates/platform/src/backend.rs
+++ b/crates/platform/src/backend.rs
@@ -18,6 +18,8 @@
 use std::task::Poll;
 
 const READ: usize = 8 << 10;
+/// A reset that comes so soon after a request says something of the connection and little of the backend.
+const AT_ONCE: Micros = 5000;
 /// A start, a stop, and one more of each that crossed the end of a request.
 const ROOM: usize = 4;
 
@@ -87,7 +89,7 @@
         };
         let sent = self.commands.get(&number).map(|c| c.try_send(Command::Start(Box::new(call))));
         if !matches!(sent, Some(Ok(()))) {
-            self.pool.closed(number);
+            self.closed(number, false);
             self.ended(number);
             return None;
         }
@@ -98,7 +100,7 @@
         if let Some(commands) = self.commands.get(&link) {
             let _ = commands.try_send(Command::Stop { id, attempt }); // full: it was told already
                                                                       // To give an attempt up is to end its connection.
-            self.pool.closed(link);
+            self.closed(link, false);
         }
     }
 
@@ -108,8 +110,8 @@
         }
     }
 
-    fn closed(&mut self, link: u64) {
-        if self.pool.closed(link) {
+    fn closed(&mut self, link: u64, broke: bool) {
+        if self.pool.closed(self.world.runtime.now(), link, broke) {
             self.commands.remove(&link);
         }
     }
@@ -147,16 +149,19 @@
         idle_since: 0,
     };
     while let Some(call) = link.next(&world, number).await {
-        let idle = link.stream.is_some().then(|| world.runtime.now() - link.idle_since);
-        let t0 = world.runtime.now();
+        let began = world.runtime.now();
+        let idle = link.stream.is_some().then(|| began.saturating_sub(link.idle_since));
         let answered = link.carry(&world, address, &call).await;
-        tracing::debug!(outcome = ?answered.outcome, idle = idle.map_or(-1, |i| i as i64), took = world.runtime.now() - t0, usable = answered.usable, "DBG");
+        let (outcome, took, usable) = (answered.outcome, world.runtime.now() - began, answered.usable);
+        tracing::debug!(backend = %address, ?outcome, took, ?idle, usable, "attempt ended");
+        let broke = answered.outcome == Outcome::Reset && world.runtime.now() < began + AT_ONCE;
         if answered.usable {
             link.idle_since = world.runtime.now();
         } else {
             link.stream = None;
             // First: once it hears of the attempt's end the pool might give the connection away.
-            let _ = world.driver.send(Input::LinkClosed(number)).await; // closed: the instance has stopped
+            let closed = Input::LinkClosed { link: number, broke };
+            let _ = world.driver.send(closed).await; // closed: the instance has stopped
         }
         let Answered { outcome, value, report, .. } = answered;
         let ended = Ended { body: value, report, ..Ended::without_answer(call.id, call.attempt, outcome) };
@@ -194,7 +199,7 @@
                 Some(None) => return None,
                 None => {
                     self.stream = None;
-                    let _ = world.driver.send(Input::LinkClosed(number)).await;
+                    let _ = world.driver.send(Input::LinkClosed { link: number, broke: false }).await;
                 }
             }
         }
--- a/crates/platform/src/pool.rs
+++ b/crates/platform/src/pool.rs
@@ -13,9 +13,52 @@
 /// request written earlier would take it for its own.
 const REST: Micros = 2000;
 
+/// Ages of connections are told apart by the power of two of their milliseconds.
+const AGES: usize = 16;
+/// Memory of what became of them, in microseconds.
+const FADE: f64 = 20e6;
+/// Breaks, faded, that an age must have had to be judged, and the share of its uses beyond that of new connections.
+const JUDGED: f64 = 1.5;
+const WORN: f64 = 0.08;
+
+/// What became of requests by how long their connection had been idle. Backends, and what stands before them, close idle
+/// connections when they like, at the latest after the platform's limit, and not always with a sign: the next request
+/// then ends as a reset and may have run, which costs far more than a new connection does. It acts only where requests
+/// on idle connections break at once clearly more often than on new ones; would do harm if new connections were dear.
+#[derive(Default)]
+struct Wear {
+    /// New connections first, then by age: uses, breaks, and when they were last faded.
+    ages: [(f64, f64, Micros); AGES + 1],
+}
+
+impl Wear {
+    fn place(age: Option<Micros>) -> usize {
+        age.map_or(0, |a| 1 + ((a / 1000).max(1).ilog2() as usize).min(AGES - 1))
+    }
+
+    fn note(&mut self, now: Micros, age: Option<Micros>, broke: bool) {
+        let (uses, breaks, at) = &mut self.ages[Self::place(age)];
+        let keep = (-(now.saturating_sub(*at) as f64) / FADE).exp();
+        (*uses, *breaks, *at) = (*uses * keep + 1.0, *breaks * keep + f64::from(u8::from(broke)), now);
+    }
+
+    /// Whether a connection of this age is as good as a new one. One that is worn makes all older ones so.
+    fn good(&self, now: Micros, age: Micros) -> bool {
+        let (uses, breaks, _) = self.ages[0];
+        let least = breaks / uses.max(1.0);
+        !self.ages[1..=Self::place(Some(age))].iter().any(|(uses, breaks, at)| {
+            // The evidence fades, and with it the judgement: it is tried again by and by.
+            let left = breaks * (-(now.saturating_sub(*at) as f64) / FADE).exp();
+            left > JUDGED && breaks / uses.max(1.0) > least + WORN
+        })
+    }
+}
+
 struct Link {
     backend: BackendId,
     address: SocketAddr,
+    /// How long it had been idle when its request came; none for a new one.
+    age: Option<Micros>,
     /// Since when it is idle; none while it carries a request.
     idle: Option<Micros>,
     /// It ends with its request.
@@ -46,12 +89,14 @@
     /// All idle ones, the longest idle first.
     oldest: BTreeSet<(Micros, u64)>,
     next: u64,
+    wear: Wear,
 }
 
 impl Pool {
     /// A pool of at most `most` connections.
     pub fn new(most: usize) -> Self {
-        Pool { most, links: HashMap::new(), idle: HashMap::new(), oldest: BTreeSet::new(), next: 1 }
+        let (links, idle, oldest, wear) = Default::default();
+        Pool { most, links, idle, oldest, next: 1, wear }
     }
 
     /// How many connections there are.
@@ -62,18 +107,19 @@
     /// Finds a way for an attempt.
     pub fn take(&mut self, now: Micros, backend: BackendId, address: SocketAddr) -> Way {
         let rested = (now.saturating_sub(REST), u64::MAX);
-        loop {
-            let last = self.idle.get(&backend).and_then(|i| i.range(..=rested).next_back()).copied();
-            let Some((_, number)) = last else { break };
+        let mut close = None;
+        let last = self.idle.get(&backend).and_then(|i| i.range(..=rested).next_back()).copied();
+        if let Some((since, number)) = last {
             self.unidle(number);
-            let Some(link) = self.links.get_mut(&number) else { continue };
-            if link.address == address {
-                link.idle = None;
+            let age = now.saturating_sub(since);
+            let good = self.wear.good(now, age);
+            if let Some(link) = self.links.get_mut(&number).filter(|l| good && l.address == address) {
+                (link.idle, link.age) = (None, Some(age));
                 return Way::Reuse(number);
             }
-            self.links.remove(&number); // the backend is reached elsewhere by now
+            self.links.remove(&number); // worn, or the backend is reached elsewhere by now
+            close = Some(number);
         }
-        let mut close = None;
         if self.links.len() >= self.most {
             let Some((_, victim)) = self.oldest.first().copied() else { return Way::Full };
             self.remove(victim);
@@ -81,7 +127,7 @@
         }
         let number = self.next;
         self.next += 1;
-        self.links.insert(number, Link { backend, address, idle: None, leaving: false });
+        self.links.insert(number, Link { backend, address, age: None, idle: None, leaving: false });
         Way::Open { number, close }
     }
 
@@ -109,17 +155,20 @@
             self.links.remove(&number);
             return false;
         }
+        self.wear.note(now, link.age, false);
         link.idle = Some(now);
         self.idle.entry(link.backend).or_default().insert((now, number));
         self.oldest.insert((now, number));
         true
     }
 
-    /// A connection has ended, or will with its request; true if it is gone by this.
-    pub fn closed(&mut self, number: u64) -> bool {
+    /// A connection has ended, or will with its request; `broke`: as soon as that was written. True if it is gone by this.
+    pub fn closed(&mut self, now: Micros, number: u64, broke: bool) -> bool {
         match self.links.get_mut(&number) {
             Some(link) if link.idle.is_none() => {
-                link.leaving = true;
+                if !std::mem::replace(&mut link.leaving, true) {
+                    self.wear.note(now, link.age, broke);
+                }
                 false
             }
             Some(_) => {
