Platform: with no room left the longest idle client connection gives way, however short that is

Checked by the decider's tables at each refusal: 172 of 172 connections of clients taken, 150 to 172 of them idle for 50 ms to 2 s after one command, none evictable before 2 s, so 500 to 700 newcomers a second were told that there is no room. Ruled out: full accept queues (no overflow), the ladder, the pool (81 of 173 in use).

Change: silent and idle connections give way after 50 ms; backends get 35% of the descriptors (clients' requests hold a third at most), clients what is left.

Open: a third of the tries of customers within quota are refused as red; that is the module's view of their stores after starts.

--- a/crates/platform/src/ingress.rs
+++ b/crates/platform/src/ingress.rs
@@ -67,11 +67,12 @@
     _kill: Sender<()>,
 }
 
-/// How descriptors are split: clients hold a third at most for requests, others come besides; the rest is for backends.
+/// How descriptors are split: clients hold a third at most for requests, and backends get as many; all else is for
+/// connections that are kept, or never ask anything.
 fn split(sockets: u64) -> Split {
     let spare = (sockets / 20).max(8);
-    let clients = sockets * 45 / 100;
-    let nodes = sockets.saturating_sub(clients + spare + OWN);
+    let nodes = sockets * 35 / 100;
+    let clients = sockets.saturating_sub(nodes + spare + OWN);
     Split { listeners: OWN, nodes, peers: 0, files: 0, spare, most_clients: clients }
 }
 
@@ -90,7 +91,9 @@
             preferred: 0.0,
             remembered: 64,
             words_per_s: 200.0,
-            gives_way: Some(GivesWay { silent: 200_000, idle: 2_000_000 }),
+            // Whoever has an open request stays. Of the rest the longest idle goes, however short that is: it costs its
+            // client a connection, where a newcomer that is refused loses a request.
+            gives_way: Some(GivesWay { silent: 50_000, idle: 50_000 }),
         },
         places: Places { most: 64, per_account: 4, lasts: 60_000_000 },
         named: Vec::new(),
