Admission: idle client connections give way to newcomers before there is no room

Checked and ruled out: quotas (replayed against true stores), service times, accept queues, the ladder. Cause: clients hold a limit of their own on connections in ones they no longer use (decide.rs, check; ingress.rs, gate).

Change: GivesWay::from: the longest idle one gives way to a newcomer from a quarter of the descriptors on.

--- a/crates/admission/src/decide.rs
+++ b/crates/admission/src/decide.rs
@@ -36,13 +36,16 @@
     pub remembered: usize,
     /// Refusals a second that get a word; more are closed without one.
     pub words_per_s: f64,
-    /// Who is closed for a newcomer where there is no room, whatever its standing; none: nobody.
+    /// Who is closed for a newcomer, whatever its standing; none: nobody.
     pub gives_way: Option<GivesWay>,
 }
 
 /// Connections that nobody misses, for fleets whose clients all come by one front and cannot be told apart by address.
 #[derive(Clone, Copy, Debug)]
 pub struct GivesWay {
+    /// They give way to newcomers from so many open connections on, though there may be room for more: clients that hold
+    /// their own limit in idle connections cannot come at all, and nobody here would see why.
+    pub from: u64,
     /// Ones that have not asked anything for so long after they were let in.
     pub silent: Micros,
     /// Ones without an open request for so long.
@@ -305,6 +308,13 @@
             }
         }
         // What is leaving still holds its descriptor: the spare ones bridge that.
+        let bridged =
+            self.open() < self.budget.clients + self.budget.spare && self.leaving < self.budget.spare;
+        if bridged && caps.gives_way.is_some_and(|way| self.open() - self.leaving >= way.from) {
+            if let Some(victim) = self.nobody_misses(now) {
+                return Ok(Some(victim));
+            }
+        }
         if self.open() - self.leaving < self.room(standing) {
             return if self.open() < self.budget.clients + self.budget.spare {
                 Ok(None)
@@ -312,11 +322,6 @@
                 Err((Reason::Full, PAUSE))
             };
         }
-        if self.open() < self.budget.clients + self.budget.spare && self.leaving < self.budget.spare {
-            if let Some(victim) = self.nobody_misses(now) {
-                return Ok(Some(victim));
-            }
-        }
         // Known clients may use the whole room but that kept above them: idle ones below them make place.
         if !known
             || self.open() >= self.budget.clients + self.budget.spare
--- a/crates/admission/tests/decider.rs
+++ b/crates/admission/tests/decider.rs
@@ -153,6 +153,47 @@
     assert_eq!(a.open_by_standing(), [0, 70, 20, 1]);
 }
 
+/// Clients that all come by one front, and hold a limit of their own in connections they no longer use: seen where half of
+/// the tries never reached an ingress that had room for sixty more connections.
+#[test]
+fn where_all_come_alike_the_longest_idle_gives_way_before_there_is_no_room() {
+    let way = GivesWay { from: 4, silent: 50_000, idle: 100_000 };
+    let wide = Caps { per_address: 99, per_second: 1e9, reserve: 0.0, preferred: 0.0, ..caps() };
+    let caps = Caps { gives_way: Some(way), per_prefix: 99, handshakes_per_address: 99, ..wide };
+    let mut a = Admission::new(caps, Budget { clients: 8, nodes: 10, spare: 3 }, known());
+    let one = far(1);
+    let accept = |victim: Option<u64>| Offer::Accept { evict: victim.map(ConnId) };
+    let answered = |a: &mut Admission, at: Micros, id: u64| {
+        a.request(at, ConnId(id));
+        a.ended(at, ConnId(id), None, false);
+    };
+    for id in 0..4 {
+        assert_eq!(open(&mut a, T0, id, one), accept(None));
+    }
+    answered(&mut a, T0 + 1000, 0);
+    a.request(T0 + 2000, ConnId(1)); // busy until the end
+    answered(&mut a, T0 + 3000, 2);
+    answered(&mut a, T0 + 60_000, 3);
+    // Nobody has been idle for long enough: there is room, and nobody has to go.
+    assert_eq!(a.offered(T0 + 60_000, ConnId(4), one), accept(None));
+    // It has said nothing for long enough, and goes before those that have asked.
+    assert_eq!(open(&mut a, T0 + 110_000, 5, one), accept(Some(4)));
+    answered(&mut a, T0 + 110_000, 5);
+    assert_eq!(open(&mut a, T0 + 120_000, 6, one), accept(Some(0)), "the longest idle");
+    a.request(T0 + 120_000, ConnId(6));
+    assert_eq!(open(&mut a, T0 + 121_000, 7, one), accept(Some(2)));
+    a.request(T0 + 121_000, ConnId(7));
+    // As many leave as descriptors are spare: the next one comes into the room that there is.
+    assert_eq!(open(&mut a, T0 + 300_000, 8, one), accept(None));
+    for id in [4, 0, 2] {
+        a.closed(T0 + 300_000, ConnId(id));
+    }
+    a.request(T0 + 300_000, ConnId(8));
+    assert_eq!(open(&mut a, T0 + 300_000, 9, one), accept(Some(3)));
+    assert_eq!(open(&mut a, T0 + 300_000, 10, one), accept(Some(5)), "busy ones never");
+    assert_eq!(open(&mut a, T0 + 300_000, 11, one), accept(None));
+}
+
 #[test]
 fn idle_unknown_ones_make_room_for_known_ones_and_busy_ones_never() {
     let mut a = decider();
--- a/crates/platform/src/ingress.rs
+++ b/crates/platform/src/ingress.rs
@@ -93,7 +93,7 @@
             words_per_s: 200.0,
             // Whoever has an open request stays. Of the rest the longest idle goes, however short that is: it costs its
             // client a connection, where a newcomer that is refused loses a request.
-            gives_way: Some(GivesWay { silent: 50_000, idle: 50_000 }),
+            gives_way: Some(GivesWay { from: sockets / 4, silent: 50_000, idle: 50_000 }),
         },
         places: Places { most: 64, per_account: 4, lasts: 60_000_000 },
         named: Vec::new(),
--- a/crates/platform/tests/whole_path.rs
+++ b/crates/platform/tests/whole_path.rs
@@ -10,6 +10,8 @@
 
 mod common;
 
+type Script = Box<dyn Fn(usize, &[String]) -> Act + Send + Sync>;
+
 struct Fixture {
     address: SocketAddr,
     journal: Journal,
@@ -21,7 +23,7 @@
 
 impl Fixture {
     /// An ingress over backends that follow their scripts.
-    fn start(scripts: Vec<Box<dyn Fn(usize, &[String]) -> Act + Send + Sync>>) -> Fixture {
+    fn start(scripts: Vec<Script>) -> Fixture {
         let journal = Journal::default();
         let ports: Vec<u16> = scripts.into_iter().map(|s| backend(journal.clone(), s)).collect();
         Fixture::over(journal, &ports)
@@ -68,12 +70,12 @@
     }
 }
 
-fn always(act: Act) -> Box<dyn Fn(usize, &[String]) -> Act + Send + Sync> {
+fn always(act: Act) -> Script {
     Box::new(move |_, _| act)
 }
 
 /// Does one thing with the first request and another with all later ones.
-fn first(act: Act, then: Act) -> Box<dyn Fn(usize, &[String]) -> Act + Send + Sync> {
+fn first(act: Act, then: Act) -> Script {
     Box::new(move |n, _| if n == 0 { act } else { then })
 }
 
