--- a/crates/lab/src/drill.rs
+++ b/crates/lab/src/drill.rs
@@ -154,14 +154,31 @@
 /// How long after a day all that it used may take to be billed.
 const BILLED: Micros = 40_000_000;
 
+/// Ports below those that systems give to connections that go out.
+const PORTS: (u64, u64) = (10_000, 20_000);
+
+/// A port that nobody has, for somebody who binds it later and, after a kill, again. None that the system itself would
+/// give: by the time that an ingress came back, a connection of a client had its port.
+fn free(bind: impl Fn(SocketAddr) -> io::Result<SocketAddr>) -> Result<SocketAddr, DrillError> {
+    static TRIED: AtomicU64 = AtomicU64::new(0);
+    let from = u64::from(std::process::id()) * 61; // several drills at once seldom try the same ones
+    let mut last = io::ErrorKind::AddrInUse.into();
+    for _ in 0..1000 {
+        let n = from + TRIED.fetch_add(1, Ordering::Relaxed);
+        match bind(([127, 0, 0, 1], (PORTS.0 + n % PORTS.1) as u16).into()) {
+            Ok(address) => return Ok(address),
+            Err(e) => last = e,
+        }
+    }
+    Err(io_error("a free port")(last))
+}
+
 fn free_port() -> Result<SocketAddr, DrillError> {
-    let any: SocketAddr = ([127, 0, 0, 1], 0).into();
-    TcpListener::bind(any).and_then(|l| l.local_addr()).map_err(io_error("a free port"))
+    free(|at| TcpListener::bind(at).and_then(|l| l.local_addr()))
 }
 
 fn free_udp() -> Result<SocketAddr, DrillError> {
-    let any: SocketAddr = ([127, 0, 0, 1], 0).into();
-    UdpSocket::bind(any).and_then(|l| l.local_addr()).map_err(io_error("a free port"))
+    free(|at| UdpSocket::bind(at).and_then(|s| s.local_addr()))
 }
 
 /// The law that a day's settings state.
