Admission: served idle connections give way first, and who is sending a command is asked last

A victim that is in the middle of a command may stay for 0.4 s and is asked last from then on. The accepting loop yields after each connection, so that victims leave before the next one is judged.

--- a/crates/admission/src/decide.rs
+++ b/crates/admission/src/decide.rs
@@ -153,6 +153,8 @@
     idle: [BTreeSet<(Micros, ConnId)>; 4],
     /// Those that have not asked anything, by when they were let in.
     silent: BTreeSet<(Micros, ConnId)>,
+    /// Idle ones that have asked, of all standings.
+    done: BTreeSet<(Micros, ConnId)>,
     shaking: u32,
     leaving: u64,
     words: f64,
@@ -179,6 +181,7 @@
             count: [0; 4],
             idle: Default::default(),
             silent: BTreeSet::new(),
+            done: BTreeSet::new(),
             shaking: 0,
             leaving: 0,
             words_at: 0,
@@ -334,13 +337,14 @@
         victim.map(Some).ok_or((Reason::Full, PAUSE))
     }
 
-    /// The connection that gives way, if one has been silent or idle for long enough: the one that was longest.
+    /// The connection that gives way, if one has been idle or silent for long enough: the one that was longest. Idle ones
+    /// first: they had what they came for, where a silent one may be about to ask.
     fn nobody_misses(&self, now: Micros) -> Option<ConnId> {
         let way = self.caps.gives_way?;
         let since = |c: &&(Micros, ConnId), span: Micros| c.0.saturating_add(span) <= now;
-        let silent = self.silent.first().filter(|c| since(c, way.silent));
-        let idle = || self.idle.iter().filter_map(BTreeSet::first).filter(|c| since(c, way.idle)).min();
-        silent.or_else(idle).map(|c| c.1)
+        let idle = self.done.first().filter(|c| since(c, way.idle));
+        let silent = || self.silent.first().filter(|c| since(c, way.silent));
+        idle.or_else(silent).map(|c| c.1)
     }
 
     fn enter(&mut self, now: Micros, id: ConnId, address: IpAddr, standing: Standing) {
@@ -368,15 +372,19 @@
         self.leaving += 1;
         self.idle[c.standing as usize].remove(&(c.since, id));
         self.silent.remove(&(c.since, id));
+        self.done.remove(&(c.since, id));
     }
 
-    /// One that was to be evicted has a request after all, and stays.
-    pub fn stays(&mut self, id: ConnId) {
+    /// One that was to be evicted has a request after all, or is sending one, and stays. It is asked last from now on.
+    pub fn stays(&mut self, now: Micros, id: ConnId) {
         if let Some(c) = self.conns.get_mut(&id).filter(|c| c.leaving) {
             c.leaving = false;
             self.leaving -= 1;
             if c.busy == 0 {
-                self.idle[c.standing as usize].insert((c.since, id));
+                c.since = now;
+                self.idle[c.standing as usize].insert((now, id));
+                let asked = if c.shaking { &mut self.silent } else { &mut self.done };
+                asked.insert((now, id));
             }
         }
     }
@@ -387,7 +395,9 @@
         let Some(c) = self.conns.get_mut(&id).filter(|c| c.shaking) else { return };
         c.shaking = false;
         self.shaking -= 1;
-        self.silent.remove(&(c.since, id));
+        if self.silent.remove(&(c.since, id)) && c.busy == 0 {
+            self.done.insert((c.since, id));
+        }
         if let Some(p) = self.places.get_mut(&c.address) {
             p.shaking -= 1;
         }
@@ -400,6 +410,7 @@
         c.busy += 1;
         if c.busy == 1 {
             self.idle[c.standing as usize].remove(&(c.since, id));
+            self.done.remove(&(c.since, id));
         }
     }
 
@@ -414,6 +425,7 @@
             c.since = now;
             if !c.leaving {
                 self.idle[standing as usize].insert((now, id));
+                self.done.insert((now, id));
             }
         }
         if let Some(p) = self.places.get_mut(&address) {
@@ -451,6 +463,7 @@
         self.leaving -= u64::from(c.leaving);
         self.count[c.standing as usize] -= 1;
         self.idle[c.standing as usize].remove(&(c.since, id));
+        self.done.remove(&(c.since, id));
         for (block, _) in prefixes(c.address, 0).into_iter().flatten() {
             if let Some(n) = self.prefixes.get_mut(&block.key()) {
                 *n -= 1;
--- a/crates/gateway/src/front/mod.rs
+++ b/crates/gateway/src/front/mod.rs
@@ -131,6 +131,8 @@
             }
             Err(_) => drop(stream), // closed at once rather than left hanging
         }
+        // Hundreds may wait to be accepted: those that are to go for them go first, and those that ask are heard.
+        future::yield_now().await;
     }
 }
 
--- a/crates/gateway/src/gate.rs
+++ b/crates/gateway/src/gate.rs
@@ -344,7 +344,7 @@
         let mut s = self.gate.state();
         let (signal, receiver) = async_channel::bounded(1);
         if !s.draining {
-            s.decider.stays(self.id);
+            s.decider.stays(self.gate.runtime.now(), self.id);
             s.signals.insert(self.id, signal);
         }
         receiver
--- a/crates/platform/src/front.rs
+++ b/crates/platform/src/front.rs
@@ -16,6 +16,8 @@
 /// A connection that has not asked anything for so long after it was let in is closed; so is one that leaves a command
 /// half sent.
 const PATIENCE: Micros = 2_200_000;
+/// A client that is to make place for another and has begun a command has so long to send the rest.
+const SENDING: Micros = 400_000;
 /// A client that reads nothing of what it is owed for so long is given up.
 const UNREAD: Micros = 10_000_000;
 /// How long a client that is told to go may take to close.
@@ -115,7 +117,9 @@
                     }
                 }
                 Turn::Signal => {
-                    if self.pass.draining() || (pipe.conn.idle() && !pipe.conn.partial()) {
+                    let now = self.door.runtime.now();
+                    let sending = self.partial.is_some_and(|p| now < p + SENDING);
+                    if self.pass.draining() || (pipe.conn.idle() && !sending) {
                         pipe.conn.stop();
                     } else {
                         pipe.watch(self.pass.stays());
