--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -602,8 +602,8 @@
         if o.done {
             self.on_gone(id, act);
         } else if o.out() == 0 {
-            // What broke early did little work: its repeat takes its place rather than adding to the load. Without
-            // this, a network that breaks one in six uses up the budget. Turned away or late: in full.
+            // What broke early did little work: its repeat takes its place rather than adding to the load.
+            // Else a network that breaks one in six uses the budget up. Turned away or late: in full.
             let early = matches!(outcome, Outcome::Error | Outcome::Reset | Outcome::ConnectFailed);
             let usual = class.map_or(0.0, |k| self.usual[k].calm).max(1.0);
             let cost = if early { (took as f64 / usual).clamp(RETRY_LEAST, 1.0) } else { 1.0 };
