Tests: the platform's fixtures leave quotas out of tests that ask as fast as they can

Seen: on two cores the SIGTERM test failed three times of four with -BUSY: its client asked more often in the half second before its connection was closed than the fixture's quota of 1,000 a second and 1,000 at once allowed. The refusal was right, the fixture was not. Its large plan now has a million.

--- a/crates/platform/tests/common/mod.rs
+++ b/crates/platform/tests/common/mod.rs
@@ -26,7 +26,7 @@
     let peers = vec!["\"127.0.0.1:1\""; usize::from(ingresses)].join(",");
     let plan = |name: &str, rate: f64| {
         format!(
-            r#"{{"name":"{name}","quota_rate":{rate:?},"burst":1000.0,"max_out":0,"never_over_rate":0.0,
+            r#"{{"name":"{name}","quota_rate":{rate:?},"burst":1000000.0,"max_out":0,"never_over_rate":0.0,
             "ceiling_burst":0.0,"ceiling_slack":0.0,"worth_factor":1.0,"over_worth":0.0,"beyond_costs":1.0}}"#
         )
     };
@@ -49,7 +49,7 @@
         class("sig-check", "repeatable", "all", 4_000_000),
         class("report-upload", "by_key", "cell", 7_500_000),
         plan("starter", 2.0),
-        plan("team", 1000.0),
+        plan("team", 1000000.0),
     );
     format!(
         r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"127.0.0.1:{discovery}","seed":"8c1f30d27a5be964",
