--- a/crates/platform/src/backend.rs
+++ b/crates/platform/src/backend.rs
@@ -100,8 +100,8 @@
 
     fn stop(&mut self, link: u64, id: RequestId, attempt: u16) {
         if let Some(commands) = self.commands.get(&link) {
-            let _ = commands.try_send(Command::Stop { id, attempt }); // full: it was told already
-                                                                      // To give an attempt up is to end its connection.
+            // Full: it was told already. To give an attempt up is to end its connection.
+            let _ = commands.try_send(Command::Stop { id, attempt });
             self.closed(link, false);
         }
     }
@@ -154,18 +154,19 @@
         let began = world.runtime.now();
         let idle = link.stream.is_some().then(|| began.saturating_sub(link.idle_since));
         let answered = link.carry(&world, address, &call).await;
-        let (outcome, took, usable) = (answered.outcome, world.runtime.now() - began, answered.usable);
+        let Answered { outcome, value, report, usable } = answered;
+        let now = world.runtime.now();
+        let took = now.saturating_sub(began);
         tracing::debug!(backend = %address, ?outcome, took, ?idle, usable, "attempt ended");
-        let broke = answered.outcome == Outcome::Reset && world.runtime.now() < began + AT_ONCE;
-        if answered.usable {
-            link.idle_since = world.runtime.now();
+        if usable {
+            link.idle_since = now;
         } else {
             link.stream = None;
             // First: once it hears of the attempt's end the pool might give the connection away.
+            let broke = outcome == Outcome::Reset && took < AT_ONCE;
             let closed = Input::LinkClosed { link: number, broke };
             let _ = world.driver.send(closed).await; // closed: the instance has stopped
         }
-        let Answered { outcome, value, report, .. } = answered;
         let ended = Ended { body: value, report, ..Ended::without_answer(call.id, call.attempt, outcome) };
         let _ = world.driver.send(Input::Ended(Box::new(ended))).await;
     }
--- a/crates/platform/src/front.rs
+++ b/crates/platform/src/front.rs
@@ -77,8 +77,8 @@
     fn refuse(&self, runtime: Shared, mut stream: Box<dyn Stream>, _: Micros) -> BoxFuture<'static, ()> {
         Box::pin(async move {
             let write = async {
+                // Whether it is read or not, the connection is closed.
                 let _ = stream.write_all(b"-ERR too many connections\r\n").await;
-                // it is closed anyway
             };
             future::or(write, runtime.sleep_until(runtime.now() + LINGER)).await;
         })
@@ -158,15 +158,14 @@
                 break;
             }
         }
-        self.leave().await;
+        self.give_up().await;
     }
 
     /// Takes what can be taken of what the client has sent.
     async fn heard(&mut self, session: &mut Session) {
         loop {
-            let open = self.door.open.clone();
-            let take = move |id| open.lock().unwrap_or_else(PoisonError::into_inner).insert(id);
-            let Some(Heard { token, request }) = session.next(take) else { break };
+            let next = session.next(|id| self.door.open().insert(id));
+            let Some(Heard { token, request }) = next else { break };
             self.pass.request();
             let id = request.id;
             let ask = self.door.ask(token, request, self.reply.clone());
@@ -189,19 +188,19 @@
     /// The process will be killed soon: what is still open has failed.
     async fn overtime(&mut self, session: &mut Session) {
         session.stop();
-        for (token, (request, id)) in std::mem::take(&mut self.asked) {
-            self.door.open().remove(&id);
+        for token in self.give_up().await {
             self.pass.ended(None, false);
-            let _ = self.door.driver.send(Input::Gone(request)).await; // closed: the instance has stopped
             session.answered(token, Answer::Failed { late: true });
         }
     }
 
-    /// The client is gone.
-    async fn leave(self) {
-        for (_, (request, id)) in self.asked {
-            self.door.open().remove(&id);
-            let _ = self.door.driver.send(Input::Gone(request)).await;
+    /// Nobody waits for what is out any more; gives the numbers of its slots.
+    async fn give_up(&mut self) -> Vec<u32> {
+        let asked = std::mem::take(&mut self.asked);
+        for (request, id) in asked.values() {
+            self.door.open().remove(id);
+            let _ = self.door.driver.send(Input::Gone(*request)).await; // closed: the instance has stopped
         }
+        asked.into_keys().collect()
     }
 }
--- a/crates/platform/src/ingress.rs
+++ b/crates/platform/src/ingress.rs
@@ -17,7 +17,6 @@
 use chalkgap_core::Gateway;
 use chalkgap_pipe::while_alive;
 use chalkgap_runtime::{Datagrams, Micros, Shared};
-use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::Arc;
@@ -249,7 +248,5 @@
 }
 
 fn spawn(runtime: &Shared, killed: &Receiver<()>, task: chalkgap_runtime::BoxFuture<'static, ()>) {
-    let life: std::pin::Pin<Box<dyn Future<Output = ()> + Send>> =
-        Box::pin(while_alive(killed.clone(), task));
-    runtime.spawn(life).detach();
+    runtime.spawn(Box::pin(while_alive(killed.clone(), task))).detach();
 }
