Tests: twelve messages are looked at again for their lessons, a comment in its place

Need: the change of homes had made a try cost one message where it cost two, and the test of told lessons then looked at ten instead of twelve. It asks for fourteen customers now and wants twelve again. Behaviour untouched; the module's tests pass.

--- a/crates/core/tests/control.rs
+++ b/crates/core/tests/control.rs
@@ -961,14 +961,14 @@
     actions.extend(rig.pass(180_000));
     rig.settle(id, 0, sends(&actions)[0], Outcome::Ok);
     let mut lessons = Vec::new();
-    for n in 0..10 {
+    for n in 0..14 {
         for action in rig.ask_of(0, 0, 50 + n, 1.0, 60.0).1 {
             if let Action::Tell { bytes, .. } = action {
                 lessons.push(bytes[1] >> 2);
             }
         }
     }
-    assert!(lessons.len() >= 10, "{lessons:?}");
+    assert!(lessons.len() >= 12, "{lessons:?}");
     assert!(lessons.iter().all(|n| *n == 1), "{lessons:?}");
 }
 
@@ -1015,8 +1015,8 @@
             (seed >> 11) as f64 / (1u64 << 53) as f64
         };
         for step in 0..5_000u64 {
-            let (id, actions) = rig.ask_of(0, 0, step, 1.0, 1.0); // this gateway is the only home
-                                                                  // 140 ms in the mean; one answer is told in several messages, so that three lessons are alike.
+            let (id, actions) = rig.ask_of(0, 0, step, 1.0, 1.0);
+            // 140 ms in the mean; one answer is told in several messages, so that three lessons are alike.
             if step % 3 == 0 {
                 let heavy = if draw() < 0.125 { 5.0 } else { 1.0 };
                 took = 20_000.0 - 80_000.0 * heavy * (1.0 - draw()).ln();
