Gateway: the view of the fleet on the datagrams that are there, and chalkgap fleet show

Need: the decider has to meet sockets, and people have to see what it knows.

Datagrams of the view go by a channel of their own (the first byte), sealed as the module's; an earlier start is read there so that it can be told that it is over, a visitor so that it can be shown the view. fleet.peers.view in the settings; off without it, and off under platform. Messages of the module find their receivers by the view; a drain leaves in order; a later start of the same number drains and ends the earlier one.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,6 +1,7 @@
 //! The `chalkgap` command: arguments, signals, logs. All else is in the library and the laboratory.
 
 mod drill;
+mod fleet;
 mod ledger;
 mod platform;
 mod serve;
@@ -69,6 +70,9 @@
     Standin(tools::Standin),
     /// Play a bad day through real ingresses and judge it.
     Drill(drill::Drill),
+    /// Look at the fleet.
+    #[command(subcommand)]
+    Fleet(fleet::Fleet),
     /// Read a billing ledger.
     #[command(subcommand)]
     Ledger(ledger::Ledger),
@@ -119,6 +123,7 @@
         Command::Ask(a) => tools::ask(a),
         Command::Standin(s) => tools::standin(s),
         Command::Drill(d) => drill::run(d),
+        Command::Fleet(f) => fleet::run(f),
         Command::Ledger(l) => ledger::run(l),
         Command::Completions { shell } => {
             clap_complete::generate(shell, &mut Args::command(), "chalkgap", &mut std::io::stdout());
--- a/crates/cli/src/serve.rs
+++ b/crates/cli/src/serve.rs
@@ -58,7 +58,12 @@
             serde_json::json!({"grpc": instance.grpc_address().to_string(), "mqtt": mqtt, "peers": peer});
         println!("{line}");
         let _ = std::io::stdout().flush(); // nobody may read it
-        signals.next().await;
+                                           // Where another process has taken this one's number, two would give what one may: this one ends.
+        let over = instance.superseded();
+        let signal = async {
+            signals.next().await;
+        };
+        future::or(signal, over).await;
         tracing::info!("draining");
         let until = system.now() + (args.drain.clamp(0.0, 86_400.0) * 1e6) as u64;
         let drained = instance.drain(until);
--- a/crates/gateway/src/instance.rs
+++ b/crates/gateway/src/instance.rs
@@ -1,11 +1,12 @@
 //! An instance: its parts put together, and the handle to it.
 
 use crate::driver::{Driver, Figures, Input};
+use crate::fleet::Fleet;
 use crate::front::{self, grpc::Grpc, mqtt::Mqtt, Door, Entrance};
 use crate::gate::{Gate, GateConfig};
 use crate::ledger::Desk;
 use crate::nodes::{Book, NodeList};
-use crate::peers::{Key, Opener, Sealer, MOST_DATAGRAM};
+use crate::peers::{Channel, Key, Opened, Opener, Sealer, MOST_DATAGRAM};
 use crate::settings::{Compiled, ListSource, Settings, SettingsError};
 use crate::sources;
 use crate::telemetry::{add, Counts, Telemetry};
@@ -64,6 +65,7 @@
     open: Arc<AtomicUsize>,
     gate: Arc<Gate>,
     desk: Option<Arc<Desk>>,
+    fleet: Option<Arc<Fleet>>,
     sessions: Option<Mqtt>,
     drain: Option<Sender<()>>,
     kill: Option<Sender<()>>,
@@ -110,7 +112,7 @@
         let (drain, drained) = async_channel::bounded(1);
         let (kill, killed) = async_channel::bounded(1);
         let name = format!("{}-{born:x}", fleet.me);
-        let instance = Instance {
+        let mut instance = Instance {
             grpc: listener.address(),
             mqtt: mqtt.as_ref().map(|m| m.1.address()),
             peer: socket.as_ref().map(|s| s.address()),
@@ -119,12 +121,16 @@
             open: Arc::default(),
             gate: gate.clone(),
             desk: opened.as_ref().map(|o| o.0.clone()),
+            fleet: None,
             sessions: mqtt.as_ref().map(|m| m.0.clone()),
             drain: Some(drain),
             kill: Some(kill),
             runtime: runtime.clone(),
         };
-        let start = |task: chalkgap_runtime::BoxFuture<'static, ()>| instance.spawn(killed.clone(), task);
+        let (alive, spawner) = (killed.clone(), runtime.clone());
+        let start = |task: chalkgap_runtime::BoxFuture<'static, ()>| {
+            spawner.spawn(Box::pin(while_alive(alive.clone(), task))).detach();
+        };
 
         let (tell, told) = async_channel::bounded(PEER_ROOM);
         let mut peers = None;
@@ -136,10 +142,21 @@
                 complaints: vec!["settings.fleet.peers.key: expected 64 hexadecimal digits".into()],
             };
             let key = Key::parse(&p.key).ok_or_else(complaint)?;
-            let sealer = Sealer::new(key.clone(), fleet.me, born);
-            let opener = Opener::new(key, fleet.me, fleet.ingresses, p.per_second);
-            start(Box::pin(tell_peers(socket.clone(), sealer, p.addresses.clone(), told)));
-            start(Box::pin(hear_peers(runtime.clone(), socket, opener, telemetry.clone(), driver.clone())));
+            let numbers = (fleet.me, fleet.ingresses);
+            let view = Fleet::new(&runtime, &socket, p, key.clone(), numbers, born, &telemetry);
+            let sealer = Sealer::new(Channel::Module, key.clone(), fleet.me, born);
+            let opener = Opener::new(key, fleet.me, fleet.ingresses, [p.per_second, Fleet::intake(p)]);
+            let whereabouts = match &view {
+                Some(view) => Whereabouts::Found(view.clone()),
+                None => Whereabouts::Fixed(p.addresses.clone()),
+            };
+            start(Box::pin(tell_peers(socket.clone(), sealer, whereabouts, told)));
+            let ears = (telemetry.clone(), driver.clone(), view.clone());
+            start(Box::pin(hear_peers(runtime.clone(), socket, opener, ears)));
+            if let Some(view) = &view {
+                start(Box::pin(view.clone().run()));
+            }
+            instance.fleet = view;
             peers = Some(tell);
         }
 
@@ -208,10 +225,6 @@
         Ok(instance)
     }
 
-    fn spawn(&self, killed: Receiver<()>, task: impl Future<Output = ()> + Send + 'static) {
-        self.runtime.spawn(Box::pin(while_alive(killed, task))).detach();
-    }
-
     /// Where the gRPC front listens.
     pub fn grpc_address(&self) -> SocketAddr {
         self.grpc
@@ -227,6 +240,17 @@
         self.peer
     }
 
+    /// Ends when a later start of this one's number is in the fleet: this one has to go. Never, where there is no view.
+    pub fn superseded(&self) -> impl Future<Output = ()> + Send + 'static {
+        let over = self.fleet.as_ref().map(|f| f.superseded());
+        async move {
+            match over {
+                Some(over) => over.await,
+                None => std::future::pending().await,
+            }
+        }
+    }
+
     /// Running totals since the start.
     pub fn counts(&self) -> Counts {
         self.telemetry.counts()
@@ -243,6 +267,9 @@
     pub async fn drain(&mut self, until: Micros) -> bool {
         self.drain = None;
         self.gate.drain();
+        if let Some(fleet) = &self.fleet {
+            fleet.leave().await;
+        }
         self.gate.keep().await;
         let mut whole = true;
         while whole && self.open.load(Ordering::Relaxed) > 0 {
@@ -272,16 +299,33 @@
     }
 }
 
+/// Where peers are.
+enum Whereabouts {
+    /// As settings say, by number.
+    Fixed(Vec<SocketAddr>),
+    /// As the view has it.
+    Found(Arc<Fleet>),
+}
+
+impl Whereabouts {
+    fn of(&self, number: u16) -> Option<SocketAddr> {
+        match self {
+            Whereabouts::Fixed(list) => list.get(usize::from(number)).copied(),
+            Whereabouts::Found(fleet) => fleet.address(number),
+        }
+    }
+}
+
 async fn tell_peers(
     socket: Arc<dyn Datagrams>,
     mut sealer: Sealer,
-    addresses: Vec<SocketAddr>,
+    whereabouts: Whereabouts,
     told: Receiver<(u16, Vec<u8>)>,
 ) {
     while let Ok((to, message)) = told.recv().await {
-        let Some(address) = addresses.get(usize::from(to)) else { continue };
+        let Some(address) = whereabouts.of(to) else { continue };
         // Lost without a word, as any datagram may be: the module reckons with it.
-        let _ = socket.send(&sealer.seal(to, &message), *address).await;
+        let _ = socket.send(&sealer.seal(to, &message), address).await;
     }
 }
 
@@ -289,27 +333,27 @@
     runtime: Shared,
     socket: Arc<dyn Datagrams>,
     mut opener: Opener,
-    telemetry: Arc<Telemetry>,
-    driver: Sender<Input>,
+    (telemetry, driver, view): (Arc<Telemetry>, Sender<Input>, Option<Arc<Fleet>>),
 ) {
     let mut buffer = [0; MOST_DATAGRAM + 1];
     loop {
-        let n = match socket.receive(&mut buffer).await {
-            Ok((n, _)) => n,
+        let (n, source) = match socket.receive(&mut buffer).await {
+            Ok(got) => got,
             Err(_) => {
                 // A peer that is down comes back as an error of the socket: the next receive is fine.
                 runtime.sleep_until(runtime.now() + 1000).await;
                 continue;
             }
         };
-        match opener.open(runtime.now(), &buffer[..n]) {
-            Ok((from, message)) => {
+        match (opener.open(runtime.now(), &buffer[..n]), &view) {
+            (Ok(Opened { channel: Channel::Module, from, message }), _) => {
                 let input = Input::Peer { from, bytes: message.to_vec() };
                 if driver.send(input).await.is_err() {
                     return;
                 }
             }
-            Err(_) => add(&telemetry.peer_dropped),
+            (Ok(o), Some(view)) => view.hear(o.from, source, o.message).await,
+            (Ok(_), None) | (Err(_), _) => add(&telemetry.peer_dropped),
         }
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -5,12 +5,14 @@
 //! All decisions on requests are those of `chalkgap-core`; the driver inside carries them out.
 //!
 //! - [`doors`]: the driver, the gate and the traits of ways in and out, for other protocols' packages
+//! - [`fleet`]: who is there, as any ingress shows it
 //! - [`settings`]: what an instance is told, as a script or in place
 //! - [`nodes`]: the list of nodes
 //! - [`peers`]: authenticated datagrams between ingresses
 //! - [`telemetry`]: what is counted
 
 mod driver;
+pub mod fleet;
 mod front;
 mod gate;
 mod instance;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -1,15 +1,19 @@
-//! Datagrams between ingresses: the module's bytes, authenticated by a keyed hash (BLAKE3), each taken at most once.
+//! Datagrams between ingresses: the module's bytes and those of the view of the fleet, authenticated by a keyed hash
+//! (BLAKE3), each taken at most once.
 //!
-//! A datagram is: version (1 byte), receiver and sender (2 each), the sender's incarnation and the datagram's number
+//! A datagram is: its channel (1 byte), receiver and sender (2 each), the sender's incarnation and the datagram's number
 //! (8 each), the message, and the hash over all before it (32). Numbers are big-endian. A later incarnation takes the
 //! place of an earlier one; within one, numbers are taken once, as far as 64 behind the highest.
 //!
+//! On the view's channel a receiver may be whoever listens there, and a sender a visitor that is none of the fleet; what
+//! an earlier start of a member says is read there, so that it can be told that it is over.
+//!
 //! What a holder of the key, or a repeat after this instance's own restart, could do is bounded by the module: no rule
 //! rests on a message.
 
+use chalkgap_membership::{ANYONE, VISITOR};
 use std::collections::HashMap;
 
-const VERSION: u8 = 1;
 const HEAD: usize = 1 + 2 + 2 + 8 + 8;
 const HASH: usize = 32;
 /// Bytes of a message: the module's own limit.
@@ -17,6 +21,15 @@
 /// Bytes of a datagram.
 pub const MOST_DATAGRAM: usize = HEAD + MOST_MESSAGE + HASH;
 
+/// What a datagram is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Channel {
+    /// The module's messages.
+    Module = 1,
+    /// Those of the view of the fleet.
+    View = 2,
+}
+
 /// The key that all ingresses share.
 #[derive(Clone)]
 pub struct Key([u8; 32]);
@@ -44,6 +57,7 @@
 
 /// Writes datagrams.
 pub struct Sealer {
+    channel: Channel,
     key: Key,
     me: u16,
     incarnation: u64,
@@ -52,15 +66,15 @@
 
 impl Sealer {
     /// A sealer for this start; `incarnation` is later than that of all starts before.
-    pub fn new(key: Key, me: u16, incarnation: u64) -> Self {
-        Sealer { key, me, incarnation, count: 0 }
+    pub fn new(channel: Channel, key: Key, me: u16, incarnation: u64) -> Self {
+        Sealer { channel, key, me, incarnation, count: 0 }
     }
 
     /// Puts a message for one peer into a datagram.
     pub fn seal(&mut self, to: u16, message: &[u8]) -> Vec<u8> {
         self.count += 1;
         let mut out = Vec::with_capacity(HEAD + message.len() + HASH);
-        out.push(VERSION);
+        out.push(self.channel as u8);
         out.extend_from_slice(&to.to_be_bytes());
         out.extend_from_slice(&self.me.to_be_bytes());
         out.extend_from_slice(&self.incarnation.to_be_bytes());
@@ -102,8 +116,20 @@
     key: Key,
     me: u16,
     fleet: u16,
-    heard: HashMap<u16, Heard>,
-    intake: Intake,
+    heard: HashMap<(Channel, u16), Heard>,
+    /// Of the module's channel, and of the view's.
+    intake: [Intake; 2],
+}
+
+/// A datagram that was opened.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Opened<'d> {
+    /// What it is for.
+    pub channel: Channel,
+    /// Who sealed it.
+    pub from: u16,
+    /// The message.
+    pub message: &'d [u8],
 }
 
 /// How many messages an ingress takes in a second.
@@ -132,19 +158,24 @@
 }
 
 impl Opener {
-    /// An opener for ingress `me` of `fleet`, that takes `per_second` messages.
-    pub fn new(key: Key, me: u16, fleet: u16, per_second: f64) -> Self {
-        Opener { key, me, fleet, heard: HashMap::new(), intake: Intake::new(per_second) }
+    /// An opener for ingress `me` of `fleet`, that takes so many messages a second: of the module, of the view.
+    pub fn new(key: Key, me: u16, fleet: u16, per_second: [f64; 2]) -> Self {
+        Opener { key, me, fleet, heard: HashMap::new(), intake: per_second.map(Intake::new) }
     }
 
-    /// The sender and the message of a datagram that came at `now` (microseconds).
+    /// What is in a datagram that came at `now` (microseconds).
     ///
     /// # Errors
     /// See [`Dropped`].
-    pub fn open<'d>(&mut self, now: u64, datagram: &'d [u8]) -> Result<(u16, &'d [u8]), Dropped> {
-        if datagram.len() < HEAD + HASH || datagram.len() > MOST_DATAGRAM || datagram[0] != VERSION {
+    pub fn open<'d>(&mut self, now: u64, datagram: &'d [u8]) -> Result<Opened<'d>, Dropped> {
+        if datagram.len() < HEAD + HASH || datagram.len() > MOST_DATAGRAM {
             return Err(Dropped::Form);
         }
+        let channel = match datagram[0] {
+            1 => Channel::Module,
+            2 => Channel::View,
+            _ => return Err(Dropped::Form),
+        };
         let (body, hash) = datagram.split_at(datagram.len() - HASH);
         let mut theirs = [0; HASH];
         theirs.copy_from_slice(hash);
@@ -155,12 +186,23 @@
         let short = |at: usize| u16::from_be_bytes([body[at], body[at + 1]]);
         let long = |at: usize| body[at..at + 8].iter().fold(0u64, |n, b| n << 8 | u64::from(*b));
         let (to, from, incarnation, count) = (short(1), short(3), long(5), long(13));
-        if to != self.me || from == self.me || from >= self.fleet {
+        let view = channel == Channel::View;
+        let here = to == self.me || view && to == ANYONE;
+        // Another start under this one's own number has to hear that it is over, or this one that it is.
+        let member = from < self.fleet && (from != self.me || view);
+        if !here || !(member || view && from == VISITOR) {
             return Err(Dropped::Stranger);
         }
-        let h = self.heard.entry(from).or_insert(Heard { incarnation, highest: 0, taken: 0 });
-        if incarnation < h.incarnation {
-            return Err(Dropped::Earlier);
+        let limit = &mut self.intake[usize::from(view)];
+        let opened = Opened { channel, from, message: &body[HEAD..] };
+        let h = self.heard.entry((channel, from)).or_insert(Heard { incarnation, highest: 0, taken: 0 });
+        if incarnation < h.incarnation || from == VISITOR {
+            // What an earlier start says, or a visitor asks, changes nothing; the intake bounds what it costs.
+            return match view {
+                true if limit.take(now) => Ok(opened),
+                true => Err(Dropped::Limit),
+                false => Err(Dropped::Earlier),
+            };
         }
         if incarnation > h.incarnation {
             *h = Heard { incarnation, highest: 0, taken: 0 };
@@ -177,10 +219,10 @@
             h.taken |= 1 << behind;
         }
         // Last: what is no message of a peer does not use up what peers may send.
-        if !self.intake.take(now) {
+        if !limit.take(now) {
             return Err(Dropped::Limit);
         }
-        Ok((from, &body[HEAD..]))
+        Ok(opened)
     }
 }
 
@@ -194,7 +236,7 @@
     }
 
     fn pair() -> (Sealer, Opener) {
-        (Sealer::new(key("a"), 1, 100), Opener::new(key("a"), 0, 3, 1000.0))
+        (Sealer::new(Channel::Module, key("a"), 1, 100), Opener::new(key("a"), 0, 3, [1000.0; 2]))
     }
 
     #[test]
@@ -202,7 +244,8 @@
         let (mut s, mut o) = pair();
         let list: Vec<Vec<u8>> = (0..70u8).map(|n| s.seal(0, &[n])).collect();
         for n in [0, 2, 1, 69, 10] {
-            assert_eq!(o.open(1, &list[n]), Ok((1, &[n as u8][..])));
+            let opened = Opened { channel: Channel::Module, from: 1, message: &[n as u8] };
+            assert_eq!(o.open(1, &list[n]), Ok(opened));
             assert_eq!(o.open(1, &list[n]), Err(Dropped::Repeat));
         }
         assert_eq!(o.open(1, &list[3]), Err(Dropped::Repeat), "too far behind the highest");
@@ -212,30 +255,33 @@
     fn strangers_and_earlier_lives_are_dropped() {
         let (mut s, mut o) = pair();
         let old = s.seal(0, b"x");
-        let mut later = Sealer::new(key("a"), 1, 200);
+        let mut later = Sealer::new(Channel::Module, key("a"), 1, 200);
         assert!(o.open(1, &later.seal(0, b"y")).is_ok());
         assert_eq!(o.open(1, &old), Err(Dropped::Earlier));
         assert_eq!(o.open(1, &later.seal(2, b"y")), Err(Dropped::Stranger), "for another");
         assert_eq!(
-            o.open(1, &Sealer::new(key("a"), 0, 9).seal(0, b"")),
+            o.open(1, &Sealer::new(Channel::Module, key("a"), 0, 9).seal(0, b"")),
             Err(Dropped::Stranger),
             "from itself"
         );
         assert_eq!(
-            o.open(1, &Sealer::new(key("a"), 3, 9).seal(0, b"")),
+            o.open(1, &Sealer::new(Channel::Module, key("a"), 3, 9).seal(0, b"")),
             Err(Dropped::Stranger),
             "no such number"
         );
-        assert_eq!(o.open(1, &Sealer::new(key("b"), 1, 300).seal(0, b"")), Err(Dropped::Forged));
-        assert_eq!(o.open(1, &[VERSION; 20]), Err(Dropped::Form));
-        assert_eq!(o.open(1, &[VERSION; 999]), Err(Dropped::Form));
+        assert_eq!(
+            o.open(1, &Sealer::new(Channel::Module, key("b"), 1, 300).seal(0, b"")),
+            Err(Dropped::Forged)
+        );
+        assert_eq!(o.open(1, &[1; 20]), Err(Dropped::Form));
+        assert_eq!(o.open(1, &[1; 999]), Err(Dropped::Form));
     }
 
     #[test]
     fn the_intake_limit_is_kept_and_forgeries_do_not_use_it_up() {
         let (mut s, _) = pair();
-        let mut o = Opener::new(key("a"), 0, 3, 10.0);
-        let mut forger = Sealer::new(key("b"), 1, 100);
+        let mut o = Opener::new(key("a"), 0, 3, [10.0; 2]);
+        let mut forger = Sealer::new(Channel::Module, key("b"), 1, 100);
         for _ in 0..1000 {
             assert_eq!(o.open(1, &forger.seal(0, b"")), Err(Dropped::Forged));
         }
@@ -243,6 +289,20 @@
         assert!((19..=20).contains(&taken), "ten at once and ten in the second: {taken}");
     }
 
+    #[test]
+    fn the_view_hears_earlier_starts_visitors_and_whoever_does_not_know_it() {
+        let (_, mut o) = pair();
+        let sealer = |me, start| Sealer::new(Channel::View, key("a"), me, start);
+        let old = sealer(1, 100).seal(0, b"x");
+        assert!(o.open(1, &sealer(1, 200).seal(ANYONE, b"y")).is_ok());
+        assert!(o.open(1, &old).is_ok(), "to be told that it is over");
+        assert!(o.open(1, &sealer(0, 200).seal(0, b"y")).is_ok(), "its own number, another start");
+        assert!(o.open(1, &sealer(VISITOR, 5).seal(ANYONE, b"y")).is_ok());
+        assert_eq!(o.open(1, &sealer(7, 5).seal(0, b"y")), Err(Dropped::Stranger));
+        let module = Sealer::new(Channel::Module, key("a"), 1, 300).seal(ANYONE, b"y");
+        assert_eq!(o.open(1, &module), Err(Dropped::Stranger));
+    }
+
     proptest! {
         #[test]
         fn any_change_is_found(at in 0usize..60, by in 1u8..=255, message in proptest::collection::vec(any::<u8>(), 8..20)) {
--- a/crates/gateway/src/settings/compiled.rs
+++ b/crates/gateway/src/settings/compiled.rs
@@ -81,7 +81,8 @@
             );
         }
         if let Some(peers) = &fleet.peers {
-            if peers.addresses.len() != usize::from(fleet.ingresses) {
+            let found_out = peers.view.is_some() && peers.addresses.is_empty();
+            if !found_out && peers.addresses.len() != usize::from(fleet.ingresses) {
                 let (n, m) = (fleet.ingresses, peers.addresses.len());
                 say(
                     "fleet.peers.addresses".into(),
--- a/crates/gateway/src/settings/mod.rs
+++ b/crates/gateway/src/settings/mod.rs
@@ -127,7 +127,9 @@
     /// Where this one receives datagrams.
     #[schemars(with = "String")]
     pub listen: SocketAddr,
-    /// Where each ingress receives them, by number; this one's own is there, too.
+    /// Where each ingress receives them, by number; this one's own is there, too. None where there is a `view`, which
+    /// finds them.
+    #[serde(default)]
     #[schemars(with = "Vec<String>")]
     pub addresses: Vec<SocketAddr>,
     /// The key that all share: 32 bytes in hexadecimal digits.
@@ -137,12 +139,50 @@
     #[serde(default = "hundred")]
     #[garde(range(min = 1.0, max = 1e6))]
     pub per_second: f64,
+    /// Who is there is found out; none: the ingresses are those of `addresses`, for good.
+    #[serde(default)]
+    #[garde(dive)]
+    pub view: Option<FleetView>,
 }
 
 fn hundred() -> f64 {
     100.0
 }
 
+/// A view of the fleet: ingresses come, go, die and come back, and each knows of it with a stated lateness.
+#[derive(Clone, Debug, Serialize, Deserialize, JsonSchema, Validate)]
+#[serde(deny_unknown_fields)]
+#[garde(allow_unvalidated)]
+pub struct FleetView {
+    /// Where others may be found at the start; one that answers is enough.
+    #[schemars(with = "Vec<String>")]
+    #[garde(length(min = 1, max = 64))]
+    pub seeds: Vec<SocketAddr>,
+    /// Where others reach this one, if that is not where it listens.
+    #[serde(default)]
+    #[schemars(with = "Option<String>")]
+    pub address: Option<SocketAddr>,
+    /// How often each asks another one whether it is there. All that the view knows is late by some of these.
+    #[serde(default = "round")]
+    #[garde(range(min = 50, max = 60_000))]
+    pub round_ms: u64,
+    /// The least time that a suspected one has to object, where the size of the fleet does not give it more.
+    #[serde(default)]
+    #[garde(range(max = 86_400_000))]
+    pub objection_ms: u64,
+    /// Messages sent for it in a second at most.
+    #[serde(default = "forty")]
+    #[garde(range(min = 5.0, max = 1e4))]
+    pub per_second: f64,
+}
+
+fn round() -> u64 {
+    500
+}
+fn forty() -> f64 {
+    40.0
+}
+
 fn hex_key(key: &str, _: &()) -> garde::Result {
     let fits = key.len() == 64 && key.bytes().all(|b| b.is_ascii_hexdigit());
     // The value is a secret: the complaint does not repeat it.
--- a/crates/gateway/src/telemetry.rs
+++ b/crates/gateway/src/telemetry.rs
@@ -58,6 +58,10 @@
     peer_dropped,
     /// Messages sent to peers.
     peer_out,
+    /// Messages of the view of the fleet taken.
+    view_in,
+    /// Messages sent for the view of the fleet.
+    view_out,
     /// Node lists taken.
     lists,
     /// Node lists refused.
