Lab: links by pair and direction, processes that fail towards each other, views judged

Need: the network between ingresses knew a weather by receiver only, no stream passed it, and nothing judged what processes know of each other.

--- a/crates/cli/src/drill.rs
+++ b/crates/cli/src/drill.rs
@@ -61,7 +61,8 @@
                 print(&verdict);
             }
             let billed = verdict.billing.as_ref().is_none_or(|b| b.differences.is_empty());
-            if verdict.violations.is_empty() && billed {
+            let views = verdict.views.iter().flatten().all(|s| s.broken.is_empty());
+            if verdict.violations.is_empty() && billed && views {
                 Exit::Good
             } else {
                 Exit::Bad
@@ -90,6 +91,16 @@
         println!("  differences    {:>8}", b.differences.len());
         b.differences.iter().take(20).for_each(|d| println!("    {d}"));
     }
+    if v.views.is_some() {
+        println!("           bound       p50      p99     most  cases  of the fleet's view");
+    }
+    for s in v.views.iter().flatten() {
+        let held = if s.broken.is_empty() { "held" } else { "BROKEN" };
+        let of = |share| s.quantile(share).map_or("-".into(), |v| format!("{v:.2}"));
+        let (half, most, worst, cases) = (of(0.5), of(0.99), of(1.0), s.seen.len());
+        println!("{held:<6} {:>8.2}  {half:>8} {most:>8} {worst:>8}  {cases:>5}  {}", s.bound, s.what);
+        s.broken.iter().take(10).for_each(|b| println!("    {b}"));
+    }
     if v.violations.is_empty() {
         return println!("rules: all kept");
     }
--- a/crates/cli/tests/scenarios.rs
+++ b/crates/cli/tests/scenarios.rs
@@ -4,6 +4,7 @@
 use chalkgap_lab::audit::Verdict;
 use chalkgap_lab::day::Day;
 use chalkgap_lab::drill::{play, Home};
+use chalkgap_lab::fleet::Statement;
 use std::sync::{Mutex, PoisonError};
 
 fn homes() -> [Home; 2] {
@@ -72,3 +73,33 @@
         assert_eq!((v.calls, v.served, v.refused), (144, 6 * 4 + 6 * 9, 144 - 78), "{v:?}");
     }
 }
+
+fn fleet_view(given: &[(&str, &str)]) -> Vec<Statement> {
+    let _alone = ALONE.lock().unwrap_or_else(PoisonError::into_inner);
+    let given: Vec<(String, String)> = given.iter().map(|g| (g.0.to_owned(), g.1.to_owned())).collect();
+    let script = include_str!("../../lab/days/fleet-view.star").to_owned();
+    let day = Day::read("fleet-view.star", script, &given).expect("a good day");
+    let [_, processes] = homes();
+    let system = System::new();
+    system.threads(1);
+    let verdict = system.clone().run(play(system, day, processes)).expect("a day that can be played");
+    assert!(verdict.violations.is_empty(), "{:#?}", verdict.violations);
+    verdict.views.expect("the day states something of its fleet")
+}
+
+/// Ten processes that join, die, stand still, are cut off, lose a number to another, and leave.
+#[test]
+fn the_view_of_a_fleet_of_processes_is_as_stated() {
+    let views = fleet_view(&[]);
+    assert_eq!(views.len(), 7);
+    for s in views {
+        assert!(s.broken.is_empty(), "{s:#?}");
+    }
+}
+
+#[test]
+fn a_fleet_that_never_declares_its_dead_is_found() {
+    let views = fleet_view(&[("plant", "deaf-detector"), ("seconds", "16")]);
+    let deaths = views.iter().find(|s| s.what.contains("a death or leave")).expect("stated");
+    assert!(deaths.seen.len() >= 6 && deaths.broken.len() == deaths.seen.len(), "{deaths:#?}");
+}
--- a/crates/lab/src/audit.rs
+++ b/crates/lab/src/audit.rs
@@ -4,6 +4,7 @@
 //! Where two clocks meet there is a tolerance, stated in [`Law`]: an attempt is seen when it arrives, a little after it
 //! was sent. Clients' answers are judged without any.
 
+use crate::fleet::Statement;
 use crate::ledger::Billing;
 use chalkgap_runtime::Micros;
 use chalkgap_standin::journal::{Answer, Entry, Seen};
@@ -94,6 +95,8 @@
     pub refused_us: [u64; 3],
     /// What was billed, where ingresses have ledgers.
     pub billing: Option<Billing>,
+    /// What was stated of the fleet's views, where ingresses have them.
+    pub views: Option<Vec<Statement>>,
 }
 
 struct Asked<'j> {
--- a/crates/lab/src/day.rs
+++ b/crates/lab/src/day.rs
@@ -19,6 +19,14 @@
     /// How many ingresses.
     #[garde(range(min = 1, max = 32))]
     pub ingresses: u16,
+    /// Numbers beyond these that a trouble may start later.
+    #[serde(default)]
+    #[garde(range(max = 32))]
+    pub reserve: u16,
+    /// The view that ingresses have of each other, and what is stated of it; none: they are told who there is, for good.
+    #[serde(default)]
+    #[garde(dive)]
+    pub fleet: Option<FleetDay>,
     /// Their settings, but for what a drill fills in: `fleet`, `front.listen`, `nodes`; folder, group and export of a
     /// `ledger`.
     pub settings: serde_json::Value,
@@ -59,6 +67,51 @@
     pub tolerance_ms: u64,
 }
 
+/// The fleet's view on a day, where ingresses are processes of their own.
+#[derive(Clone, Debug, Serialize, Deserialize, JsonSchema, Validate)]
+#[serde(deny_unknown_fields)]
+#[garde(allow_unvalidated)]
+pub struct FleetDay {
+    /// `fleet.peers.view` of the settings, but for `seeds` and `address`, which the drill fills in.
+    #[serde(default)]
+    pub view: serde_json::Value,
+    /// How many of the first ingresses are seeds.
+    #[serde(default = "two")]
+    #[garde(range(min = 1, max = 32))]
+    pub seeds: u16,
+    /// The number of an ingress that has another key than the others.
+    #[serde(default)]
+    pub stranger: Option<u16>,
+    /// What has to hold.
+    #[garde(dive)]
+    pub stated: Stated,
+}
+
+/// Bounds that a day states of the fleet's view. What is not there is not judged; what is there has to be seen at least
+/// once. That nobody is held for lost who was there and in reach, always has to hold.
+#[derive(Clone, Copy, Debug, Default, Serialize, Deserialize, JsonSchema, Validate)]
+#[serde(deny_unknown_fields, default)]
+pub struct Stated {
+    /// Seconds until all others know of a death, or of one that left.
+    #[garde(inner(range(min = 0.0, max = 600.0)))]
+    pub death_s: Option<f64>,
+    /// Seconds until all views are equal, after a heal, a start, or one that woke.
+    #[garde(inner(range(min = 0.0, max = 600.0)))]
+    pub meet_s: Option<f64>,
+    /// Seconds until a part of half or fewer says that it is cut off.
+    #[garde(inner(range(min = 0.0, max = 600.0)))]
+    pub cut_s: Option<f64>,
+    /// Seconds until a process knows that another one has its number.
+    #[garde(inner(range(min = 0.0, max = 600.0)))]
+    pub takeover_s: Option<f64>,
+    /// Messages of the view that an ingress sends in a second, as a mean of the day.
+    #[garde(inner(range(min = 0.0, max = 10_000.0)))]
+    pub messages_per_s: Option<f64>,
+    /// And bytes.
+    #[garde(inner(range(min = 0.0, max = 10_000_000.0)))]
+    pub bytes_per_s: Option<f64>,
+}
+
 fn key_memory() -> f64 {
     5.0
 }
@@ -219,6 +272,20 @@
     /// The group of accounts, or the class, that it hits.
     #[serde(default)]
     pub group: Option<String>,
+    /// Parts of the fleet that a trouble of links is between: ingresses, by number. None: every ingress is a part of its
+    /// own.
+    #[serde(default)]
+    #[garde(length(max = 32))]
+    pub parts: Vec<Vec<u16>>,
+    /// It hits the way from the first part to the others only.
+    #[serde(default)]
+    pub one_way: bool,
+    /// Nodes that count as a part as well: the first part's links to them are hit.
+    #[serde(default)]
+    pub nodes: Vec<usize>,
+    /// The first part's links to the roster are hit, too.
+    #[serde(default)]
+    pub roster: bool,
 }
 
 /// Kinds of trouble. Those of the bench have its names.
@@ -271,6 +338,41 @@
     PeerLoss,
     /// The roster is gone.
     RosterDown,
+    /// Links are cut without a sign.
+    Cut,
+    /// Links are cut, and streams on them reset.
+    CutReset,
+    /// Links lose `strength` of all datagrams; streams are held up by as many losses.
+    Lossy,
+    /// Links are ten times as late as their latest for `strength` of all, 20 ms to 200 ms where nothing is set.
+    LateTail,
+    /// Datagrams overtake each other, up to `strength` milliseconds.
+    Reorder,
+    /// Links bring `strength` of all datagrams twice.
+    Doubled,
+    /// Links pass `strength` thousand bytes a second.
+    SlowBytes,
+    /// Ends of streams are not passed on.
+    HalfOpen,
+    /// Ingresses are killed; they come back after `lasts`, or never where that is 0.
+    Kill,
+    /// Ingresses leave in order, and stay away.
+    Leave,
+    /// Ingresses of the reserve are started.
+    Join,
+    /// Ingresses run for a tenth of the time, in slices of `strength` milliseconds; only where they are processes.
+    Slow,
+    /// Another process takes the number of an ingress, at another address, while the first one is alive; only where they
+    /// are processes.
+    Replace,
+}
+
+impl Kind {
+    /// Whether it is about links, by pair and direction.
+    pub fn of_links(self) -> bool {
+        use Kind::*;
+        matches!(self, Cut | CutReset | Lossy | LateTail | Reorder | Doubled | SlowBytes | HalfOpen)
+    }
 }
 
 impl Day {
--- /dev/null
+++ b/crates/lab/src/drill/processes.rs
@@ -0,0 +1,287 @@
+//! Ingresses and nodes as the drill has them: started, killed, drained, listed.
+
+use super::{io_error, lock, DrillError, Home, World};
+use crate::fleet::{Act, Line};
+use chalkgap::runtime::Micros;
+use chalkgap::settings::Settings;
+use chalkgap::Instance;
+use chalkgap_standin::journal::Seen;
+use chalkgap_standin::network::{Party, Relay};
+use chalkgap_standin::node::{Faults, Machine, Node};
+use chalkgap_wire::roster;
+use rustix::process::{kill_process, Pid, Signal};
+use std::io::{self, BufRead, BufReader};
+use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU64, Ordering};
+
+pub(super) enum Life {
+    Here(Instance),
+    Process(Child),
+    Down,
+}
+
+pub(super) struct Slot {
+    pub(super) settings: Settings,
+    pub(super) grpc: SocketAddr,
+    pub(super) mqtt: SocketAddr,
+    pub(super) life: Life,
+    /// Clients know since then that nobody is there.
+    pub(super) down_since: Option<Micros>,
+}
+
+pub(super) struct NodeSlot {
+    pub(super) machine: Machine,
+    pub(super) zone: usize,
+    pub(super) address: SocketAddr,
+    pub(super) node: Option<Node>,
+    pub(super) faults: Faults,
+    pub(super) state: u32,
+    pub(super) started_ms: u64,
+}
+
+/// Sends a signal to a process of this drill. One that has ended by itself gets none.
+pub(super) fn signal(pid: u32, signal: Signal) {
+    if let Some(pid) = i32::try_from(pid).ok().and_then(Pid::from_raw) {
+        let _ = kill_process(pid, signal);
+    }
+}
+
+/// Ports below those that systems give to connections that go out.
+const PORTS: (u64, u64) = (10_000, 20_000);
+
+/// A port that nobody has, for somebody who binds it later and, after a kill, again. None that the system itself would
+/// give: by the time that an ingress came back, a connection of a client had its port.
+fn free(bind: impl Fn(SocketAddr) -> io::Result<SocketAddr>) -> Result<SocketAddr, DrillError> {
+    static TRIED: AtomicU64 = AtomicU64::new(0);
+    let from = u64::from(std::process::id()) * 61; // several drills at once seldom try the same ones
+    let mut last = io::ErrorKind::AddrInUse.into();
+    for _ in 0..1000 {
+        let n = from + TRIED.fetch_add(1, Ordering::Relaxed);
+        match bind(([127, 0, 0, 1], (PORTS.0 + n % PORTS.1) as u16).into()) {
+            Ok(address) => return Ok(address),
+            Err(e) => last = e,
+        }
+    }
+    Err(io_error("a free port")(last))
+}
+
+pub(super) fn free_port() -> Result<SocketAddr, DrillError> {
+    free(|at| TcpListener::bind(at).and_then(|l| l.local_addr()))
+}
+
+pub(super) fn free_udp() -> Result<SocketAddr, DrillError> {
+    free(|at| UdpSocket::bind(at).and_then(|s| s.local_addr()))
+}
+
+pub(super) fn end(life: &mut Life) {
+    match std::mem::replace(life, Life::Down) {
+        Life::Here(mut instance) => instance.stop(),
+        Life::Process(mut child) => {
+            let _ = child.kill(); // it has ended by itself
+            let _ = child.wait();
+        }
+        Life::Down => {}
+    }
+}
+
+impl World {
+    // ---- ingresses ----
+
+    pub(super) async fn start_ingress(&self, n: u16) -> Result<(), DrillError> {
+        let (settings, at) = {
+            let slots = lock(&self.slots);
+            let slot = &slots[usize::from(n)];
+            (slot.settings.clone(), slot.grpc)
+        };
+        let life = match &self.home {
+            Home::Here => Life::Here(Instance::start(settings, self.runtime.clone()).await?),
+            Home::Processes(program) => {
+                let file = self.folder.join(format!("ingress-{n}.star"));
+                let value = serde_json::to_value(&settings).unwrap_or_default();
+                std::fs::write(&file, format!("settings = {}\n", literal(&value)))
+                    .map_err(io_error(file.display().to_string()))?;
+                let viewing = self.day.fleet.is_some();
+                let log = if viewing {
+                    ["--log", "json", "--log-filter", "warn,chalkgap::fleet=info"].as_slice()
+                } else {
+                    &["--log-filter", "warn"]
+                };
+                let child = Command::new(program)
+                    .args(log)
+                    .arg("serve")
+                    .arg(&file)
+                    .stdin(Stdio::null())
+                    .stdout(Stdio::piped())
+                    .stderr(if viewing { Stdio::piped() } else { Stdio::inherit() })
+                    .spawn();
+                let mut child = child.map_err(io_error(program.display().to_string()))?;
+                if let Some(errors) = child.stderr.take() {
+                    let lines = self.lines.clone();
+                    // Ends with the process.
+                    std::thread::spawn(move || {
+                        for text in BufReader::new(errors).lines().map_while(Result::ok) {
+                            match Line::read(&text) {
+                                Some(line) => lock(&lines).push(line),
+                                None => eprintln!("{text}"),
+                            }
+                        }
+                    });
+                }
+                // Its first line says that it listens.
+                let line = child.stdout.take().map(|out| BufReader::new(out).lines().next());
+                if !matches!(line, Some(Some(Ok(_)))) {
+                    let _ = child.kill();
+                    let error = io::Error::other("it ended before it listened");
+                    return Err(DrillError::Io { what: format!("{} serve", program.display()), error });
+                }
+                Life::Process(child)
+            }
+        };
+        tracing::info!(ingress = n, address = %at, "drill: ingress up");
+        self.act(Act::Up(n));
+        let mut slots = lock(&self.slots);
+        slots[usize::from(n)].life = life;
+        slots[usize::from(n)].down_since = None;
+        Ok(())
+    }
+
+    pub(super) fn kill_ingress(&self, n: u16) {
+        let now = self.runtime.now();
+        self.journal.note(now, Seen::Killed { ingress: n });
+        let mut slots = lock(&self.slots);
+        let slot = &mut slots[usize::from(n)];
+        slot.down_since = Some(now);
+        end(&mut slot.life);
+        self.act(Act::Down(n));
+        // A second time, after the fact: what reached it until then was held by it.
+        self.journal.note(self.runtime.now(), Seen::Killed { ingress: n });
+    }
+
+    pub(super) async fn drain_ingress(&self, n: u16) {
+        let life = {
+            let mut slots = lock(&self.slots);
+            std::mem::replace(&mut slots[usize::from(n)].life, Life::Down)
+        };
+        self.act(Act::Leave(n));
+        let until = self.runtime.now() + self.deadlines.values().copied().max().unwrap_or(0);
+        match life {
+            Life::Here(mut instance) => {
+                if !instance.drain(until).await {
+                    self.journal.note(self.runtime.now(), Seen::Killed { ingress: n });
+                }
+            }
+            Life::Process(mut child) => {
+                signal(child.id(), Signal::TERM);
+                while matches!(child.try_wait(), Ok(None)) && self.runtime.now() < until {
+                    self.pause(0.02).await;
+                }
+                end(&mut Life::Process(child));
+            }
+            Life::Down => {}
+        }
+        lock(&self.slots)[usize::from(n)].down_since = Some(self.runtime.now());
+    }
+
+    /// Starts another process under an ingress's number, at other addresses, while the first one is alive. That one ends
+    /// by itself, or is killed.
+    pub(super) async fn replace_ingress(&self, n: u16) -> Result<(), DrillError> {
+        let (datagrams, grpc, party) = (free_udp()?, free_port()?, Party::Ingress(n));
+        let seed = self.day.seed ^ u64::from(n) << 32;
+        let relay = Relay::start(self.runtime.clone(), self.network.clone(), party, datagrams, seed);
+        let relay = relay.map_err(io_error("a way between ingresses"))?;
+        self.network.sends_from(datagrams, party);
+        let first = {
+            let mut slots = lock(&self.slots);
+            let slot = &mut slots[usize::from(n)];
+            (slot.grpc, slot.settings.front.listen) = (grpc, grpc);
+            if let Some(peers) = &mut slot.settings.fleet.peers {
+                peers.listen = datagrams;
+                if let Some(view) = &mut peers.view {
+                    view.address = Some(relay.address());
+                }
+            }
+            std::mem::replace(&mut slot.life, Life::Down)
+        };
+        lock(&self.relays).push(relay);
+        self.act(Act::Replace(n));
+        self.start_ingress(n).await?;
+        if let Life::Process(mut child) = first {
+            let until = self.runtime.now() + 10_000_000;
+            while matches!(child.try_wait(), Ok(None)) && self.runtime.now() < until {
+                self.pause(0.02).await;
+            }
+            if matches!(child.try_wait(), Ok(None)) {
+                self.journal.note(self.runtime.now(), Seen::Killed { ingress: n });
+            }
+            end(&mut Life::Process(child));
+        }
+        Ok(())
+    }
+
+    // ---- nodes ----
+
+    pub(super) fn start_node(&self, n: usize, cold: bool) -> Result<(), DrillError> {
+        let mut nodes = lock(&self.nodes);
+        let cold_time = lock(&self.slots)[0].settings.rules.cold_ms * 1000;
+        let slot = &mut nodes[n];
+        let mut machine = slot.machine.clone();
+        machine.cold_time = if cold { cold_time } else { 0 };
+        let node = Node::start(self.runtime.clone(), slot.address, machine, self.journal.clone());
+        let node = node.map_err(io_error(format!("node at {}", slot.address)))?;
+        node.faults(slot.faults.clone());
+        slot.started_ms = if cold { node.born() / 1000 } else { 0 };
+        slot.state = 0;
+        slot.node = Some(node);
+        Ok(())
+    }
+
+    pub(super) fn change_node(&self, n: usize, change: impl Fn(&mut Faults)) {
+        if let Some(slot) = lock(&self.nodes).get_mut(n) {
+            change(&mut slot.faults);
+            if let Some(node) = &slot.node {
+                node.faults(slot.faults.clone());
+            }
+        }
+    }
+
+    /// Pushes the list as it is now.
+    pub(super) fn publish(&self) {
+        let nodes = lock(&self.nodes);
+        let line = |s: &NodeSlot| roster::Node {
+            address: s.address.to_string(),
+            zone: self.day.zones[s.zone].clone(),
+            cell: s.machine.cell.name.clone(),
+            kind: format!("{}-{}", s.machine.cores, s.machine.speed),
+            state: s.state,
+            size: s.machine.cores as f64 * s.machine.speed,
+            started_ms: s.started_ms,
+        };
+        let list = nodes.iter().map(line).collect();
+        drop(nodes);
+        if let Some(roster) = lock(&self.roster).as_ref() {
+            roster.set(list);
+        }
+    }
+
+    pub(super) async fn publish_late(&self) {
+        self.pause(self.day.news_late_s).await;
+        self.publish();
+    }
+}
+
+/// A JSON value as Starlark.
+fn literal(value: &serde_json::Value) -> String {
+    use serde_json::Value;
+    match value {
+        Value::Null => "None".into(),
+        Value::Bool(true) => "True".into(),
+        Value::Bool(false) => "False".into(),
+        Value::Array(list) => format!("[{}]", list.iter().map(literal).collect::<Vec<_>>().join(", ")),
+        Value::Object(map) => {
+            let pair = |(k, v): (&String, &Value)| format!("{}: {}", Value::from(k.as_str()), literal(v));
+            format!("{{{}}}", map.iter().map(pair).collect::<Vec<_>>().join(", "))
+        }
+        other => other.to_string(),
+    }
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -3,9 +3,11 @@
 //!
 //! - [`day`]: the script's form
 //! - [`drill`]: plays a day
+//! - [`fleet`]: judges what ingresses know of each other, from their own journals
 //! - [`audit`]: judges a journal, and trusts no counter of an ingress
 
 pub mod audit;
 pub mod day;
 pub mod drill;
+pub mod fleet;
 pub mod ledger;
--- a/crates/standin/src/roster.rs
+++ b/crates/standin/src/roster.rs
@@ -8,7 +8,7 @@
 use chalkgap_wire::http2::{Config, Connection, Event, Field};
 use chalkgap_wire::roster::{List, Node, WatchRequest};
 use prost::Message;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
@@ -16,10 +16,24 @@
 #[derive(Default)]
 struct State {
     list: List,
+    /// Where each ingress is told that a node is; as listed where it is not in there.
+    told_as: Arc<HashMap<(u16, String), String>>,
     /// When the list may be told, and to whom it goes.
     watchers: Vec<Sender<List>>,
 }
 
+impl State {
+    fn as_told(&self, list: &List, ingress: u16) -> List {
+        let mut list = list.clone();
+        for node in &mut list.nodes {
+            if let Some(at) = self.told_as.get(&(ingress, node.address.clone())) {
+                node.address.clone_from(at);
+            }
+        }
+        list
+    }
+}
+
 /// A roster that runs. Dropped, it is gone.
 pub struct Roster {
     address: SocketAddr,
@@ -47,6 +61,12 @@
         self.address
     }
 
+    /// Tells ingresses of nodes at other addresses than their own, by ingress and listed address: the beginnings of ways
+    /// that somebody made. The journal has the nodes' own.
+    pub fn told_as(&self, addresses: Arc<HashMap<(u16, String), String>>) {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner).told_as = addresses;
+    }
+
     /// Puts a list in place of the last one and pushes it.
     pub fn set(&self, nodes: Vec<Node>) {
         let mut s = self.state.lock().unwrap_or_else(PoisonError::into_inner);
@@ -93,6 +113,7 @@
                 for (stream, ingress) in &watching {
                     // Noted before it goes out: an ingress may know from now on, and has to a while later.
                     tell(&journal, runtime.now(), *ingress, &list);
+                    let list = state.lock().unwrap_or_else(PoisonError::into_inner).as_told(&list, *ingress);
                     if pipe.conn.data(*stream, grpc::frame(&list), false).is_err() {
                         return;
                     }
@@ -120,8 +141,9 @@
                     let mut s = state.lock().unwrap_or_else(PoisonError::into_inner);
                     let ingress = asked.ingress as u16;
                     tell(&journal, runtime.now(), ingress, &s.list);
+                    let list = s.as_told(&s.list, ingress);
                     let sent = pipe.conn.headers(stream, head, false);
-                    let _ = sent.and_then(|()| pipe.conn.data(stream, grpc::frame(&s.list), false));
+                    let _ = sent.and_then(|()| pipe.conn.data(stream, grpc::frame(&list), false));
                     watching.insert(stream, ingress);
                     s.watchers.push(watcher.clone());
                 }
