Module: a home that the view has lost is neither asked nor waited for; doors' types beneath the driver

Need: the module found a dead home by three asks without a word, each of 60 ms and more, at each ingress anew; with both homes gone every request was held 150 ms for a word that could not come. And what doors speak (Ask, Reply, Input, Work) lay in the driver, so that eight files stood in a circle.

Event::Reach { peer, there }: an ask goes to the second home at once, and nothing is held where both are gone. Homes do not move: the second was told all along. Instance::fleet and a test of the command that starts three processes, shows views, and takes a number over.

--- a/crates/cli/tests/command.rs
+++ b/crates/cli/tests/command.rs
@@ -84,6 +84,53 @@
     assert_eq!(code(&run(&["check"])), 2);
 }
 
+/// Two processes find each other by a seed; a third, with a later start under the second's number, ends that one.
+#[test]
+fn the_fleet_is_shown_from_any_ingress_and_a_number_is_taken_over() {
+    let peers = r#""me": int(given["me"]), "peers": {"listen": "127.0.0.1:0", "key": "5a" * 32,
+        "view": {"seeds": [given["seed"]], "round_ms": 100}}"#;
+    let script = SETTINGS.replace("\"ingresses\": 1", "\"ingresses\": 4").replace("\"me\": 0", peers);
+    let settings = file("fleet.star", &script);
+    let settings = settings.to_str().unwrap();
+    let serve = |me: &str, seed: &str| {
+        let (me, seed) = (format!("me={me}"), format!("seed={seed}"));
+        start(&["serve", settings, "--set", "list=x", "--set", &me, "--set", &seed], "peers")
+    };
+    let shown = |at: &str| -> serde_json::Value {
+        let given = ["--set", "list=x", "--set", "me=0", "--set", "seed=127.0.0.1:9"];
+        let out = run(&[&["fleet", "show", at, "--json", "--settings", settings][..], &given].concat());
+        assert_eq!(code(&out), 0, "{}", text(&out.stderr));
+        serde_json::from_slice(&out.stdout).unwrap()
+    };
+    let until = |at: &str, what: &dyn Fn(&serde_json::Value) -> bool| {
+        let mut views = (0..300).map(|_| {
+            std::thread::sleep(std::time::Duration::from_millis(50));
+            shown(at)
+        });
+        views.find(|v| what(v)).expect("in time")
+    };
+    let (mut first, at) = serve("0", "127.0.0.1:9");
+    assert_eq!(shown(&at)["standing"], "cut off", "it has a seed and has met nobody");
+    let (mut second, other) = serve("1", &at);
+    let view = until(&at, &|v| v["counting"] == 2 && v["standing"] == "whole");
+    let same = until(&other, &|v| v["counting"] == 2);
+    assert_eq!((&view["digest"], &view["number"]), (&same["digest"], &same["number"]));
+    let states: Vec<&str> =
+        view["members"].as_array().unwrap().iter().map(|m| m["state"].as_str().unwrap()).collect();
+    assert_eq!(states, ["in", "in"]);
+    let (mut third, later) = serve("1", &at);
+    assert!(second.wait().unwrap().success(), "it hears that it is over, drains and ends");
+    let address = |v: &serde_json::Value| v["members"][1]["address"] == later;
+    until(&at, &address);
+    first.kill().unwrap();
+    third.kill().unwrap();
+    let ended = (first.wait(), third.wait());
+    assert!(ended.0.is_ok() && ended.1.is_ok());
+    let given = ["--set", "list=x", "--set", "me=0", "--set", "seed=127.0.0.1:9"];
+    let out = run(&[&["fleet", "show", &at, "--settings", settings][..], &given].concat());
+    assert_eq!(code(&out), 11, "nobody is there: {}", text(&out.stderr));
+}
+
 #[test]
 fn schema_and_completions() {
     let schema: serde_json::Value = serde_json::from_slice(&run(&["schema"]).stdout).unwrap();
--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -74,10 +74,6 @@
     }
 }
 
-fn all_said(c: &Customer, me: u16) -> bool {
-    c.pools.iter().all(|h| *h == me || c.answered.contains(h))
-}
-
 impl Gateway {
     /// A gateway that starts now and knows nothing yet.
     pub fn new(settings: Settings, seed: u64, now: Micros) -> Self {
@@ -127,9 +123,13 @@
                 }
             }
             Event::Peer { from, bytes } => self.on_peer(from, &bytes, act),
+            // A home known to be gone need not be found silent: nobody waits for it, or asks it.
+            Event::Reach { peer, there } if peer.0 < self.s.gateways => {
+                self.peers.entry(peer.0).or_default().gone = !there;
+            }
             Event::Roster(kind, list) => self.on_roster(kind, list, act),
             Event::Timer(_) if self.now < self.wake_at => return,
-            Event::Timer(_) | Event::Probed { .. } | Event::Counted { .. } => {}
+            Event::Timer(_) | Event::Probed { .. } | Event::Counted { .. } | Event::Reach { .. } => {}
         }
         if self.now >= self.wake_at {
             self.on_wake(act);
@@ -164,7 +164,8 @@
         let red = quota.is_some() && self.s.plans[plan].open_cap == 0;
         let known = c.home || now - c.news_at.min(now) < if red { NO_AGAIN } else { FRESH };
         let short = ceiling.is_some() && quota.is_none() && c.pools != [self.s.me.0; 2];
-        if !may_wait || (known && !short) {
+        let nobody = c.pools.iter().all(|h| *h == self.s.me.0 || self.away(*h));
+        if !may_wait || (known && !short) || nobody {
             self.requests.insert(req.id, open);
             return self.admit(req.id, true, act);
         }
@@ -183,7 +184,8 @@
             // Both hand out the ceiling. Else all ask the first of the two, which so knows the store; what it
             // lets through the second is told, for when the first is gone. To ask both, and to tell both what
             // came of it, was six messages a try: in a fleet of 300 the intake lost a fifth of them.
-            if short || self.period > 0 || self.peers.get(&first).is_some_and(|p| p.unheard > MUTE) {
+            if short || self.period > 0 || self.peers.get(&first).is_some_and(|p| p.unheard > MUTE || p.gone)
+            {
                 self.ask(req.customer, second, act);
             }
         }
@@ -195,9 +197,15 @@
         o.arrived + most.min((o.patience(self.s.classes[usize::from(o.req.class)].aim) / 5.0) as Micros)
     }
 
+    /// Whether the view of the fleet, if there is one, has lost a peer.
+    fn away(&self, peer: u16) -> bool {
+        self.peers.get(&peer).is_some_and(|p| p.gone)
+    }
+
     /// Asks a home for room, once in a round of asking.
     fn ask(&mut self, id: CustomerId, home: u16, act: &mut Vec<Action>) {
-        let fit = |c: &&mut Customer| home != self.s.me.0 && !c.asked.contains(&home) && self.s.limits.peers;
+        let away = self.away(home) || home == self.s.me.0 || !self.s.limits.peers;
+        let fit = |c: &&mut Customer| !away && !c.asked.contains(&home);
         let Some(c) = self.customers.get_mut(&id).filter(fit) else { return };
         c.asked.push(home);
         let p = self.peers.entry(home).or_default();
@@ -986,8 +994,11 @@
             c.granted += n.gift;
         }
         let (held, customer, pools) = (c.held.clone(), n.customer, c.pools);
+        let (said, short) = (c.answered.clone(), c.short);
         // The first home's no will do, unless it started so lately that it knows too little.
-        let all = all_said(c, me) || (!few && !young && from == pools[0] && !c.short);
+        let chief = from == pools[0] || self.away(pools[0]);
+        let all = pools.iter().all(|h| *h == me || said.contains(h) || self.away(*h));
+        let all = all || (!few && !young && chief && !short);
         held.iter().for_each(|id| self.admit(*id, all, act));
         if held.iter().any(|id| self.requests.get(id).is_some_and(|o| o.held)) {
             pools.into_iter().for_each(|h| self.ask(customer, h, act));
--- a/crates/core/src/interface.rs
+++ b/crates/core/src/interface.rs
@@ -351,6 +351,13 @@
         /// The message.
         bytes: Vec<u8>,
     },
+    /// What a view of the fleet says of a peer, where there is one. No rule rests on it.
+    Reach {
+        /// Which one.
+        peer: GatewayNo,
+        /// It counts as in; as all do that nothing was said of.
+        there: bool,
+    },
     /// A counter call ended.
     Counted {
         /// The number's name.
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -114,6 +114,8 @@
     pub next: Micros,
     /// Asks since its last word.
     pub unheard: u32,
+    /// The view of the fleet has lost it.
+    pub gone: bool,
     /// Where the last message ended.
     pub told: CustomerId,
     /// Customers to tell it of: how many more times, and whether to ask.
--- a/crates/core/tests/control.rs
+++ b/crates/core/tests/control.rs
@@ -1031,6 +1031,34 @@
     }
 }
 
+/// What a view of the fleet knows, nobody has to find out by waiting: the second home is asked at once, and where both are
+/// gone nothing is held for a word that cannot come. What is let in then is what a customer unseen anywhere would be.
+#[test]
+fn homes_that_a_view_has_lost_are_not_waited_for() {
+    let asker = Fleet::new(60).stranger().0;
+    let asked = |actions: &[Action]| -> Vec<GatewayNo> {
+        actions.iter().filter_map(|a| if let Action::Tell { to, .. } = a { *to } else { None }).collect()
+    };
+    let mut rig = Rig::with(Settings { gateways: 60, me: GatewayNo(asker as u16), ..settings() }, 10);
+    let (_, actions) = rig.ask_of(0, 1, 5, 1.0, 60.0);
+    let first = asked(&actions);
+    assert!(first.len() == 1 && sends(&actions).is_empty(), "held for its first home's word");
+    let reach = |peer, there| Event::Reach { peer, there };
+    rig.feed(reach(first[0], false));
+    rig.pass(2_000_000);
+    let (_, actions) = rig.ask_of(0, 1, 5, 1.0, 60.0);
+    let second = asked(&actions);
+    assert!(second.len() == 1 && second != first && sends(&actions).is_empty(), "{actions:?}");
+    rig.feed(reach(second[0], false));
+    rig.pass(2_000_000);
+    let (_, actions) = rig.ask_of(0, 1, 5, 1.0, 60.0);
+    assert!(asked(&actions).is_empty() && (refused(&actions) || sends(&actions).len() == 1), "{actions:?}");
+    rig.feed(reach(first[0], true));
+    rig.pass(2_000_000);
+    assert_eq!(asked(&rig.ask_of(0, 1, 5, 1.0, 60.0).1), first, "it is back");
+    rig.feed(reach(GatewayNo(60), false)); // no such peer: nothing is kept of it
+}
+
 /// A home that says yes counts the units as used in the same turn: what it promised is not told to it again, only to the
 /// other one. All that, and asking both, was six messages a try; in a fleet of 300 a fifth of them was lost to the intake.
 #[test]
--- a/crates/core/tests/hostile.rs
+++ b/crates/core/tests/hostile.rs
@@ -61,6 +61,7 @@
     Settle { pick: usize, outcome: usize, unknown: bool },
     Withdraw(usize),
     Peer { from: u16, bytes: Vec<u8> },
+    Reach(u16, bool),
     Roster { kind: u8, states: Vec<u8>, cold: bool },
     Pass(u64),
     Stray(u64),
@@ -81,6 +82,7 @@
         1 => (0usize..50).prop_map(Step::Withdraw),
         2 => (0u16..5, prop::collection::vec(prop_oneof![0u8..4, any::<u8>()], 0..60))
             .prop_map(|(from, bytes)| Step::Peer { from, bytes }),
+        1 => (0u16..5, any::<bool>()).prop_map(|(peer, there)| Step::Reach(peer, there)),
         1 => (0u8..4, prop::collection::vec(0u8..3, 0..6), any::<bool>())
             .prop_map(|(kind, states, cold)| Step::Roster { kind, states, cold }),
         6 => (1u64..30).prop_map(Step::Pass),
@@ -220,6 +222,9 @@
                 feed(&mut host, now, Event::Withdrawn(id));
             }
             Step::Peer { from, bytes } => feed(&mut host, now, Event::Peer { from: GatewayNo(from), bytes }),
+            Step::Reach(peer, there) => {
+                feed(&mut host, now, Event::Reach { peer: GatewayNo(peer), there });
+            }
             Step::Roster { kind, states, cold } => {
                 let kind = [RosterKind::Delta, RosterKind::Full, RosterKind::Cached, RosterKind::Failed]
                     [usize::from(kind)];
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -3,10 +3,12 @@
 //!
 //! [`show`] asks any ingress for its view, as a person with a command does.
 
+use crate::messages::Input;
 use crate::peers::{Channel, Key, Opener, Sealer, MOST_DATAGRAM};
 use crate::settings::Peers;
 use crate::telemetry::{add, Telemetry};
 use async_channel::{Receiver, Sender};
+use chalkgap_membership::view::Fact;
 use chalkgap_membership::wire::{Kind, Message, Shown};
 use chalkgap_membership::{
     Change, Config, Membership, Micros, Number, Outgoing, Standing, State, ANYONE, VISITOR,
@@ -32,6 +34,8 @@
     socket: Arc<dyn Datagrams>,
     inner: Mutex<Inner>,
     telemetry: Arc<Telemetry>,
+    /// Told whom the view has lost, and has again.
+    driver: Sender<Input>,
     /// The time to wake has changed.
     stir: (Sender<()>, Receiver<()>),
     /// Closed when a later start of this number is there.
@@ -47,7 +51,7 @@
         key: Key,
         (me, most): (Number, Number),
         born: Micros,
-        telemetry: &Arc<Telemetry>,
+        (telemetry, driver): (&Arc<Telemetry>, &Sender<Input>),
     ) -> Option<Arc<Fleet>> {
         let view = peers.view.as_ref()?;
         let config = Config {
@@ -68,6 +72,7 @@
             socket: socket.clone(),
             inner: Mutex::new(Inner { member, sealer }),
             telemetry: telemetry.clone(),
+            driver: driver.clone(),
             stir: async_channel::bounded(1),
             over: async_channel::bounded(1),
         }))
@@ -82,6 +87,22 @@
         self.inner.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// The view as it is now.
+    pub(crate) fn shown(&self) -> ShownView {
+        let (inner, now) = (self.lock(), self.runtime.now());
+        let (member, view) = (&inner.member, inner.member.view());
+        ShownView {
+            owner: member.number(),
+            number: view.number(),
+            digest: format!("{:016x}", view.digest()),
+            standing: standing_name(member.standing() as u8),
+            counting: view.counting().min(usize::from(u16::MAX)) as u16,
+            of: member.basis().min(usize::from(u16::MAX)) as u16,
+            late: member.late(1),
+            members: view.members().map(|m| ShownMember::new(&m.fact, now.saturating_sub(m.since))).collect(),
+        }
+    }
+
     /// Where a member that counts as in receives datagrams.
     pub(crate) fn address(&self, number: Number) -> Option<SocketAddr> {
         let inner = self.lock();
@@ -135,20 +156,30 @@
 
     /// Sends what is to be sent and writes down what has changed.
     async fn carry(&self) {
+        let mut reach = Vec::new();
         loop {
             let next = {
                 let mut inner = self.lock();
                 let Inner { member, sealer } = &mut *inner;
                 while let Some(change) = member.change() {
                     self.note(member, &change);
+                    match change {
+                        Change::Member(f) if f.number != member.number() => {
+                            reach.push(Input::Reach { peer: f.number, there: f.state.counts() });
+                        }
+                        _ => {}
+                    }
                 }
                 member.send().map(|Outgoing { to, address, bytes }| (sealer.seal(to, &bytes), address))
             };
-            let Some((datagram, to)) = next else { return };
+            let Some((datagram, to)) = next else { break };
             add(&self.telemetry.view_out);
             // Lost without a word, as any datagram may be.
             let _ = self.socket.send(&datagram, to).await;
         }
+        for input in reach {
+            let _ = self.driver.send(input).await; // closed: the instance has been stopped
+        }
     }
 
     /// One line for each change: a process's own account of what it knew when.
@@ -211,6 +242,14 @@
     pub by: Number,
 }
 
+impl ShownMember {
+    fn new(f: &Fact, held: Micros) -> ShownMember {
+        let (number, state, turn, start, address, by) =
+            (f.number, name(f.state), f.turn, f.start, f.address, f.by);
+        ShownMember { number, state, held, turn, start, address, by }
+    }
+}
+
 /// A view, as an ingress shows it.
 #[derive(Clone, Debug, PartialEq, Serialize)]
 pub struct ShownView {
@@ -272,15 +311,7 @@
     let mut head: Option<(Shown, u64)> = None;
     for _ in 0..PARTS {
         let (shown, message) = part(&**runtime, &*socket, (&mut sealer, &mut opener), address, from).await?;
-        members.extend(message.facts.iter().map(|(f, held)| ShownMember {
-            number: f.number,
-            state: name(f.state),
-            held: *held,
-            turn: f.turn,
-            start: f.start,
-            address: f.address,
-            by: f.by,
-        }));
+        members.extend(message.facts.iter().map(|(f, held)| ShownMember::new(f, *held)));
         // Parts of a view that changed meanwhile are shown under the last one's number.
         head = Some((shown, message.digest));
         match shown.next {
--- a/crates/gateway/src/front/grpc.rs
+++ b/crates/gateway/src/front/grpc.rs
@@ -1,8 +1,8 @@
 //! The public gRPC rate limit service (`envoy.service.ratelimit.v3.RateLimitService`) and its health check.
 
 use super::{Bad, Demand, Door, Front, WORD};
-use crate::driver::{Answer, Ask, Input, Reply};
 use crate::gate::Pass;
+use crate::messages::{Answer, Ask, Input, Reply};
 use crate::telemetry::add;
 use async_channel::Sender;
 use bytes::Bytes;
--- a/crates/gateway/src/front/mod.rs
+++ b/crates/gateway/src/front/mod.rs
@@ -5,11 +5,10 @@
 pub(crate) mod grpc;
 pub(crate) mod mqtt;
 
-use crate::driver::{Ask, Input, Reply};
 use crate::gate::{Gate, Pass, Refusal};
+use crate::messages::{self, Ask, Input, Reply};
 use crate::settings::{Compiled, KeyRule};
 use crate::telemetry::{add, Telemetry};
-use crate::upstream;
 use async_channel::{Receiver, Sender};
 use bytes::Bytes;
 use chalkgap_core::RequestId;
@@ -181,7 +180,7 @@
         let wait = timeout.unwrap_or(u64::MAX).min(rule.deadline_ms * 1000);
         let deadline = (arrived.saturating_add(wait)).saturating_sub(front.answer_margin_ms * 1000);
         let body = framing::frame(&Work { account: account.clone(), units, entries, payload });
-        let (units, work) = (f64::from(units), upstream::Work { body, key });
+        let (units, work) = (f64::from(units), messages::Work { body, key });
         Ok(Ask { id, class: class_no, account, customer, units, deadline, work, reply, token })
     }
 }
--- a/crates/gateway/src/front/mqtt.rs
+++ b/crates/gateway/src/front/mqtt.rs
@@ -2,9 +2,9 @@
 //! message to its response topic where it has one. QoS 0 without one has no answer, and is decided all the same.
 
 use super::{Bad, Demand, Door, Front, WORD};
-use crate::driver::{Answer, Ask, Input, Reply};
 use crate::gate::Pass;
 use crate::ledger::lock;
+use crate::messages::{Answer, Ask, Input, Reply};
 use crate::settings::{self, Part};
 use crate::telemetry::add;
 use argon2::password_hash::phc::PasswordHash;
--- a/crates/gateway/src/instance.rs
+++ b/crates/gateway/src/instance.rs
@@ -1,10 +1,12 @@
 //! An instance: its parts put together, and the handle to it.
 
-use crate::driver::{Driver, Figures, Input};
-use crate::fleet::Fleet;
+use crate::driver::{Driver, Figures};
+use crate::error::StartError;
+use crate::fleet::{Fleet, ShownView};
 use crate::front::{self, grpc::Grpc, mqtt::Mqtt, Door, Entrance};
 use crate::gate::{Gate, GateConfig};
 use crate::ledger::Desk;
+use crate::messages::Input;
 use crate::nodes::{Book, NodeList};
 use crate::peers::{Channel, Key, Opened, Opener, Sealer, MOST_DATAGRAM};
 use crate::settings::{Compiled, ListSource, Settings, SettingsError};
@@ -13,11 +15,9 @@
 use crate::upstream::Links;
 use async_channel::{Receiver, Sender};
 use chalkgap_core::Gateway;
-use chalkgap_ledger::StoreError;
 use chalkgap_pipe::while_alive;
 use chalkgap_runtime::{Datagrams, Micros, Shared};
 use std::future::Future;
-use std::io;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::Arc;
@@ -30,30 +30,6 @@
 /// How long the ledger's last group may take after a drain whose time is up.
 const LAST_GROUP: Micros = 500_000;
 
-/// Why an instance does not start.
-#[derive(Debug, thiserror::Error)]
-pub enum StartError {
-    /// The settings are not taken.
-    #[error(transparent)]
-    Settings(#[from] SettingsError),
-    /// An address cannot be bound.
-    #[error("{path}: {address} cannot be bound: {error}")]
-    Bind {
-        /// The setting.
-        path: &'static str,
-        /// The address.
-        address: SocketAddr,
-        /// The system's word.
-        error: io::Error,
-    },
-    /// The ledger cannot be opened.
-    #[error("settings.ledger.folder: {error}")]
-    Ledger {
-        /// What was found.
-        error: StoreError,
-    },
-}
-
 /// A running ingress. Many may live in one process; they share nothing but the runtime. Dropped, it is killed.
 pub struct Instance {
     runtime: Shared,
@@ -143,7 +119,7 @@
             };
             let key = Key::parse(&p.key).ok_or_else(complaint)?;
             let numbers = (fleet.me, fleet.ingresses);
-            let view = Fleet::new(&runtime, &socket, p, key.clone(), numbers, born, &telemetry);
+            let view = Fleet::new(&runtime, &socket, p, key.clone(), numbers, born, (&telemetry, &driver));
             let sealer = Sealer::new(Channel::Module, key.clone(), fleet.me, born);
             let opener = Opener::new(key, fleet.me, fleet.ingresses, [p.per_second, Fleet::intake(p)]);
             let whereabouts = match &view {
@@ -240,6 +216,11 @@
         self.peer
     }
 
+    /// Who is there, as of now; none where the settings have no view.
+    pub fn fleet(&self) -> Option<ShownView> {
+        self.fleet.as_ref().map(|f| f.shown())
+    }
+
     /// Ends when a later start of this one's number is in the fleet: this one has to go. Never, where there is no view.
     pub fn superseded(&self) -> impl Future<Output = ()> + Send + 'static {
         let over = self.fleet.as_ref().map(|f| f.superseded());
--- a/crates/gateway/src/ledger/mod.rs
+++ b/crates/gateway/src/ledger/mod.rs
@@ -5,8 +5,8 @@
 mod fleet;
 mod truth;
 
-use crate::driver::Input;
-use crate::instance::StartError;
+use crate::error::StartError;
+use crate::messages::Input;
 use crate::settings::{self, Compiled, OnFailure, Period};
 use crate::telemetry::{add, Telemetry};
 use async_channel::{Receiver, Sender};
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,11 +12,13 @@
 //! - [`telemetry`]: what is counted
 
 mod driver;
+mod error;
 pub mod fleet;
 mod front;
 mod gate;
 mod instance;
 mod ledger;
+mod messages;
 pub mod nodes;
 pub mod peers;
 pub mod settings;
@@ -27,13 +29,15 @@
 /// What a protocol in a package of its own is built on: the driver that owns the module, what goes in and out of it, and
 /// the gate that lets connections in. An [`Instance`] is put together from the same parts.
 pub mod doors {
-    pub use crate::driver::{Answer, Ask, Call, Driver, Ended, Figures, Input, Reply, Upstream};
+    pub use crate::driver::{Driver, Figures};
     pub use crate::front::{listen, Entrance, Front};
     pub use crate::gate::{Gate, GateConfig, Pass};
+    pub use crate::messages::{Answer, Ask, Call, Ended, Input, Reply, Upstream};
     pub use crate::peers::Intake;
     pub use crate::settings::Customer;
 }
 
 pub use chalkgap_runtime as runtime;
-pub use instance::{Instance, StartError};
+pub use error::StartError;
+pub use instance::Instance;
 pub use ledger::periods;
--- a/crates/gateway/src/sources.rs
+++ b/crates/gateway/src/sources.rs
@@ -1,6 +1,6 @@
 //! Where node lists come from, and where the last one is kept.
 
-use crate::driver::Input;
+use crate::messages::Input;
 use crate::nodes::{Node, NodeList, State};
 use crate::telemetry::{add, Telemetry};
 use async_channel::{Receiver, Sender};
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -1,7 +1,7 @@
 //! Connections to nodes: HTTP/2, pooled, one gRPC call an attempt. Each connection is a task; [`Links`] is the
 //! driver's side of them. What passed on the connection gives the outcome; when in doubt the attempt may have run.
 
-use crate::driver::{self, request_name, Ended, Input, Upstream};
+use crate::messages::{self, request_name, Ended, Input, Upstream, Work};
 use crate::settings::Compiled;
 use async_channel::{Receiver, Sender};
 use bytes::Bytes;
@@ -19,16 +19,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 
-/// What nodes get of a request.
-#[derive(Clone)]
-pub struct Work {
-    /// The framed message.
-    pub(crate) body: Bytes,
-    /// What they drop repeats by.
-    pub(crate) key: Option<Bytes>,
-}
-
-type Call = driver::Call<Work>;
+type Call = messages::Call<Work>;
 
 /// What a connection is told.
 pub(crate) enum Command {
