Runtime: the same faults of links on the world without a system; one altered world for tests

Need: what is shown with 24 processes has to be shown with 300 instances in virtual time, by the same faults and names. Three tests repeated a whole Runtime to change one part of it.

runtime::weather (loss, double, delay, tail, rate, cut without a sign or with a reset, half-open) is used by virtual_world, now by pair and direction, and by the relays between processes. runtime::altered::Altered is a world with files or listeners of its own.

--- a/crates/gateway/tests/admission.rs
+++ b/crates/gateway/tests/admission.rs
@@ -2,8 +2,8 @@
 
 mod common;
 
-use chalkgap::runtime::system::System;
-use chalkgap::runtime::{BoxFuture, Datagrams, Files, Listener, Micros, Runtime, Shared, Stream, Task};
+use chalkgap::runtime::altered::Altered;
+use chalkgap::runtime::{BoxFuture, Listener, Runtime, Shared, Stream};
 use chalkgap::Instance;
 use chalkgap_standin::client::Client;
 use chalkgap_standin::flood::{self, knock, Knock};
@@ -185,9 +185,7 @@
     });
 }
 
-/// A world whose listener fails a few times before it accepts, as one that is out of descriptors does.
-struct Failing(Arc<System>, i32);
-
+/// A listener that fails a few times before it accepts, as one that is out of descriptors does.
 struct FailingDoor(Box<dyn Listener>, AtomicU32, i32);
 
 impl Listener for FailingDoor {
@@ -204,47 +202,15 @@
     }
 }
 
-impl Runtime for Failing {
-    fn now(&self) -> Micros {
-        self.0.now()
-    }
-    fn sleep_until(&self, at: Micros) -> BoxFuture<'static, ()> {
-        self.0.sleep_until(at)
-    }
-    fn spawn(&self, task: BoxFuture<'static, ()>) -> Task {
-        self.0.spawn(task)
-    }
-    fn listen(&self, at: SocketAddr) -> io::Result<Box<dyn Listener>> {
-        Ok(Box::new(FailingDoor(self.0.listen(at)?, AtomicU32::new(0), self.1)))
-    }
-    fn connect_from(
-        &self,
-        from: Option<IpAddr>,
-        to: SocketAddr,
-    ) -> BoxFuture<'static, io::Result<Box<dyn Stream>>> {
-        self.0.connect_from(from, to)
-    }
-    fn datagrams(&self, at: SocketAddr) -> io::Result<Box<dyn Datagrams>> {
-        self.0.datagrams(at)
-    }
-    fn files(&self) -> &dyn Files {
-        self.0.files()
-    }
-    fn random(&self) -> u64 {
-        self.0.random()
-    }
-    fn descriptors(&self) -> u64 {
-        self.0.descriptors()
-    }
-}
-
 /// EMFILE, ENFILE, ENOBUFS, ENOMEM: the listener rests, 10 to 80 ms, and then takes who waits; never a busy loop.
 #[test]
 fn failures_to_accept_are_survived() {
     for errno in [24, 23, 105, 12] {
         run(|system| async move {
-            let ingress =
-                Instance::start(settings(), Arc::new(Failing(system.clone(), errno))).await.unwrap();
+            let failing =
+                move |l| -> Box<dyn Listener> { Box::new(FailingDoor(l, AtomicU32::new(0), errno)) };
+            let world = Altered::new(system.clone()).listeners(failing);
+            let ingress = Instance::start(settings(), Arc::new(world)).await.unwrap();
             let to = ingress.grpc_address();
             let begun = system.now();
             let (end, ..) = knock(&(system.clone() as Shared), None, to).await;
--- a/crates/gateway/tests/ledger.rs
+++ b/crates/gateway/tests/ledger.rs
@@ -2,10 +2,9 @@
 
 mod common;
 
+use chalkgap::runtime::altered::Altered;
 use chalkgap::runtime::system::System;
-use chalkgap::runtime::{
-    Append, BoxFuture, Datagrams, Files, Listener, Micros, Runtime, Shared, Stream, Task,
-};
+use chalkgap::runtime::{Append, BoxFuture, Files, Micros, Runtime, Shared};
 use chalkgap::settings::{Export, ExportTo, Ledger, LedgerGroup, OnFailure, Period, Settings};
 use chalkgap::Instance;
 use chalkgap_ledger::entry::Batch;
@@ -19,7 +18,7 @@
 use rand::{RngExt, SeedableRng};
 use std::collections::BTreeMap;
 use std::io;
-use std::net::{IpAddr, SocketAddr, TcpListener};
+use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
@@ -233,9 +232,7 @@
     errno: AtomicU64,
 }
 
-/// The system's world with a disk that can be told to misbehave.
-struct World(Arc<System>, Bad);
-
+/// The system's disk, which can be told to misbehave.
 struct Bad(Arc<System>, Arc<Trouble>);
 
 struct Log(Box<dyn Append>, Arc<System>, Arc<Trouble>);
@@ -284,43 +281,9 @@
     }
 }
 
-impl Runtime for World {
-    fn now(&self) -> Micros {
-        self.0.now()
-    }
-    fn sleep_until(&self, at: Micros) -> BoxFuture<'static, ()> {
-        self.0.sleep_until(at)
-    }
-    fn spawn(&self, task: BoxFuture<'static, ()>) -> Task {
-        self.0.spawn(task)
-    }
-    fn listen(&self, at: SocketAddr) -> io::Result<Box<dyn Listener>> {
-        self.0.listen(at)
-    }
-    fn connect_from(
-        &self,
-        from: Option<IpAddr>,
-        to: SocketAddr,
-    ) -> BoxFuture<'static, io::Result<Box<dyn Stream>>> {
-        self.0.connect_from(from, to)
-    }
-    fn datagrams(&self, at: SocketAddr) -> io::Result<Box<dyn Datagrams>> {
-        self.0.datagrams(at)
-    }
-    fn files(&self) -> &dyn Files {
-        &self.1
-    }
-    fn random(&self) -> u64 {
-        self.0.random()
-    }
-    fn descriptors(&self) -> u64 {
-        self.0.descriptors()
-    }
-}
-
 async fn on_disk(system: &Arc<System>, folder: &Folder, on_failure: OnFailure) -> (Small, Arc<Trouble>) {
     let trouble = Arc::new(Trouble::default());
-    let world = World(system.clone(), Bad(system.clone(), trouble.clone()));
+    let world = Altered::new(system.clone()).files(Bad(system.clone(), trouble.clone()));
     let mut settings = settings();
     settings.ledger = Some(Ledger { on_failure, slow_ms: 100, ..ledger(folder, "0", None) });
     let s = Small::start(Arc::new(world), settings, vec![Machine::default()]).await;
--- a/crates/gateway/tests/virtual_world.rs
+++ b/crates/gateway/tests/virtual_world.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use chalkgap::runtime::virtual_world::{address, Weather, World};
+use chalkgap::runtime::virtual_world::{address, Weather, World, USUAL};
 use chalkgap::runtime::Shared;
 use chalkgap::settings::{self, Settings};
 use chalkgap::Instance;
@@ -25,7 +25,7 @@
 /// middle and starts again from its disk. What clients and nodes saw, and how many entries the ledger has.
 fn ten_minutes(seed: u64) -> (Vec<Entry>, u64) {
     let world = World::new(seed, 1_800_000_000_000_000);
-    world.weather(Weather { latency: (100, 3000), ..Weather::default() });
+    world.weather(Weather { delay: (100, 3000), ..USUAL });
     let (node_host, _node_on) = world.host(0, 0);
     let (client_host, _client_on) = world.host(2, 0);
     let journal = Journal::default();
--- a/crates/ledger/tests/store.rs
+++ b/crates/ledger/tests/store.rs
@@ -3,12 +3,12 @@
 use chalkgap_ledger::entry::{Open, Settled};
 use chalkgap_ledger::store::{self, incarnation, Store, StoreError};
 use chalkgap_ledger::{Book, Entry, Id, Periods, Taken, What};
+use chalkgap_runtime::altered::Altered;
 use chalkgap_runtime::system::System;
 use chalkgap_runtime::*;
 use futures_lite::future::block_on;
 use std::collections::BTreeMap;
 use std::io;
-use std::net::{IpAddr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::sync::{Arc, Mutex};
 
@@ -50,9 +50,7 @@
     }
 }
 
-/// A world whose files are in memory; all else is the system's.
-struct World(Arc<System>, Memory);
-
+/// Files in memory.
 #[derive(Clone)]
 struct Memory(Arc<Mutex<Drive>>);
 
@@ -131,43 +129,9 @@
     }
 }
 
-impl Runtime for World {
-    fn now(&self) -> Micros {
-        self.0.now()
-    }
-    fn sleep_until(&self, at: Micros) -> BoxFuture<'static, ()> {
-        self.0.sleep_until(at)
-    }
-    fn spawn(&self, task: BoxFuture<'static, ()>) -> Task {
-        self.0.spawn(task)
-    }
-    fn listen(&self, at: SocketAddr) -> io::Result<Box<dyn Listener>> {
-        self.0.listen(at)
-    }
-    fn connect_from(
-        &self,
-        from: Option<IpAddr>,
-        to: SocketAddr,
-    ) -> BoxFuture<'static, io::Result<Box<dyn Stream>>> {
-        self.0.connect_from(from, to)
-    }
-    fn datagrams(&self, at: SocketAddr) -> io::Result<Box<dyn Datagrams>> {
-        self.0.datagrams(at)
-    }
-    fn files(&self) -> &dyn Files {
-        &self.1
-    }
-    fn random(&self) -> u64 {
-        self.0.random()
-    }
-    fn descriptors(&self) -> u64 {
-        self.0.descriptors()
-    }
-}
-
 fn world(drive: Drive) -> (Shared, Memory) {
     let memory = Memory(Arc::new(Mutex::new(drive)));
-    (Arc::new(World(System::new(), memory.clone())), memory)
+    (Arc::new(Altered::new(System::new()).files(memory.clone())), memory)
 }
 
 fn entry(number: u64) -> Entry {
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -2,10 +2,14 @@
 //! listeners, datagrams, files and randomness. Nothing above this crate names a socket type of the system or asks the
 //! system for the time, so that all of it can be played through on another world.
 //!
+//! [`weather`] is what links do to what goes over them; [`altered::Altered`] is a world with a part of its own.
+//!
 //! [`system::System`] is the real one, on async-io and futures-lite; [`virtual_world::World`] has no system under it.
 
+pub mod altered;
 pub mod system;
 pub mod virtual_world;
+pub mod weather;
 
 use futures_lite::{AsyncRead, AsyncWrite};
 use std::future::Future;
--- a/crates/runtime/src/virtual_world.rs
+++ b/crates/runtime/src/virtual_world.rs
@@ -4,6 +4,9 @@
 //! A [`World`] has [`Host`]s, each a [`Runtime`]: a machine with an address, a disk and a clock of its own. A host that is
 //! killed loses its tasks, its streams and what its disk had not synced; started again it has what is left.
 
+pub use crate::weather::{Cut, Weather};
+
+use crate::weather::LOOK;
 use crate::{Append, BoxFuture, Datagrams, Files, Listener, Micros, Runtime, Stream, Task};
 use async_executor::Executor;
 use futures_lite::future;
@@ -23,22 +26,9 @@
 /// Datagrams that may wait at a socket.
 const DATAGRAMS: usize = 4096;
 
-/// What the network does.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Weather {
-    /// How long bytes are under way: at least, and at most.
-    pub latency: (Micros, Micros),
-    /// Share of datagrams that is lost.
-    pub loss: f64,
-    /// Share of datagrams that comes twice.
-    pub double: f64,
-}
-
-impl Default for Weather {
-    fn default() -> Self {
-        Weather { latency: (100, 300), loss: 0.0, double: 0.0 }
-    }
-}
+/// What links do that nobody has set.
+pub const USUAL: Weather =
+    Weather { delay: (100, 300), loss: 0.0, double: 0.0, tail: 0.0, rate: 0, cut: None, half_open: false };
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
@@ -89,6 +79,8 @@
     now: Micros,
     rng: SmallRng,
     weather: Weather,
+    /// Those between two hosts, in one direction, that are not as usual.
+    links: BTreeMap<(u32, u32), Weather>,
     set: u64,
     timers: BTreeMap<(Micros, u64), Waker>,
     doors: BTreeMap<SocketAddr, Door>,
@@ -133,7 +125,8 @@
         let state = State {
             now: begin,
             rng: SmallRng::seed_from_u64(seed),
-            weather: Weather::default(),
+            weather: USUAL,
+            links: BTreeMap::new(),
             set: 0,
             timers: BTreeMap::new(),
             doors: BTreeMap::new(),
@@ -147,11 +140,31 @@
         World { state: Arc::new(Mutex::new(state)), executor: Arc::new(Executor::new()) }
     }
 
-    /// Changes the weather.
+    /// Changes the weather of all links that have none of their own.
     pub fn weather(&self, weather: Weather) {
         lock(&self.state).weather = weather;
     }
 
+    /// Changes the link from one host to another, in this direction; none: it is like the others again.
+    pub fn link(&self, from: u32, to: u32, weather: Option<Weather>) {
+        let hit: Vec<Arc<Mutex<Way>>> = {
+            let mut s = lock(&self.state);
+            match weather {
+                Some(w) => s.links.insert((from, to), w),
+                None => s.links.remove(&(from, to)),
+            };
+            let reset = weather.is_some_and(|w| w.cut == Some(Cut::Reset));
+            let between =
+                |w: &&(u32, u32, _)| reset && ((w.0, w.1) == (from, to) || (w.1, w.0) == (from, to));
+            s.ways.iter().filter(between).filter_map(|w| w.2.upgrade()).collect()
+        };
+        for way in hit {
+            let mut w = lock(&way);
+            w.reset = true;
+            w.wake();
+        }
+    }
+
     /// Starts a host, or starts it again with what its disk kept.
     pub fn host(&self, no: u32, ahead: Micros) -> (Arc<Host>, Power) {
         let (off, death) = async_channel::bounded(1);
@@ -214,9 +227,8 @@
         self.timers.insert((at, self.set), waker);
     }
 
-    fn delay(&mut self) -> Micros {
-        let (least, most) = self.weather.latency;
-        self.rng.random_range(least..=most.max(least))
+    fn link(&self, from: u32, to: u32) -> Weather {
+        self.links.get(&(from, to)).copied().unwrap_or(self.weather)
     }
 
     fn address(&mut self, no: u32, at: SocketAddr) -> SocketAddr {
@@ -229,6 +241,14 @@
     }
 }
 
+/// The host at an address.
+fn host_at(at: SocketAddr) -> u32 {
+    match at.ip() {
+        IpAddr::V4(ip) => u32::from(ip) & 0x00ff_ffff,
+        IpAddr::V6(_) => 0,
+    }
+}
+
 /// The address of a host.
 pub fn address(no: u32) -> IpAddr {
     let [_, a, b, c] = no.to_be_bytes();
@@ -271,6 +291,8 @@
 /// One end of a stream.
 struct End {
     state: Arc<Mutex<State>>,
+    /// This host, and the other one.
+    hosts: (u32, u32),
     peer: SocketAddr,
     read: Arc<Mutex<Way>>,
     write: Arc<Mutex<Way>>,
@@ -285,7 +307,14 @@
 impl futures_lite::AsyncRead for End {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buffer: &mut [u8]) -> Poll<io::Result<usize>> {
         let mut s = lock(&self.state);
+        let link = s.link(self.hosts.1, self.hosts.0);
         let mut way = lock(&self.read);
+        let over = way.reset || way.ended && way.under_way.is_empty();
+        if link.cut == Some(Cut::Silent) || link.half_open && over {
+            let again = s.now + LOOK;
+            s.wake_at(again, cx.waker().clone());
+            return Poll::Pending;
+        }
         if way.reset {
             return Poll::Ready(Err(io::ErrorKind::ConnectionReset.into()));
         }
@@ -332,7 +361,8 @@
         }
         // In order: nothing overtakes what was written before.
         let last = way.under_way.back().map_or(0, |w| w.0);
-        let at = (s.now + s.delay()).max(last);
+        let link = s.link(self.hosts.0, self.hosts.1);
+        let at = (s.now + link.late_on_stream(&mut s.rng)).max(last) + link.passing(n);
         way.under_way.push_back((at, bytes[..n].to_vec()));
         way.held += n;
         if let Some(reader) = way.reader.take() {
@@ -414,13 +444,13 @@
     fn send<'a>(&'a self, bytes: &'a [u8], to: SocketAddr) -> BoxFuture<'a, io::Result<()>> {
         Box::pin(async move {
             let mut s = lock(&self.state);
-            let (loss, double) = (s.weather.loss, s.weather.double);
-            if s.rng.random::<f64>() < loss {
+            let link = s.link(host_at(self.at), host_at(to));
+            if s.rng.random::<f64>() < link.loss || link.cut.is_some() {
                 return Ok(());
             }
-            let copies = 1 + u32::from(s.rng.random::<f64>() < double);
+            let copies = 1 + u32::from(s.rng.random::<f64>() < link.double);
             for _ in 0..copies {
-                let at = s.now + s.delay();
+                let at = s.now + link.late(&mut s.rng) + link.passing(bytes.len());
                 s.set += 1;
                 let key = (at, s.set);
                 s.letters.insert(key, (self.at, to, bytes.to_vec()));
@@ -635,14 +665,28 @@
         let (state, no, life) = (self.world.state.clone(), self.no, self.life);
         let arrive = {
             let mut s = lock(&state);
-            let delay = s.delay();
+            let delay = s.link(no, host_at(to)).late_on_stream(&mut s.rng);
             s.now + delay
         };
         let wait = self.sleep_until(arrive + self.ahead);
         Box::pin(async move {
             wait.await;
+            // Where a link is cut without a sign the connection hangs.
+            future::poll_fn(|cx| {
+                let mut s = lock(&state);
+                if s.link(no, host_at(to)).cut != Some(Cut::Silent) {
+                    return Poll::Ready(());
+                }
+                let again = s.now + LOOK;
+                s.wake_at(again, cx.waker().clone());
+                Poll::Pending
+            })
+            .await;
             let mut s = lock(&state);
             alive(&s, no, life)?;
+            if s.link(no, host_at(to)).cut == Some(Cut::Reset) {
+                return Err(io::ErrorKind::ConnectionReset.into());
+            }
             let near = s.address(no, SocketAddr::new(from.unwrap_or(address(no)), 0));
             let Some(host) = s.doors.get(&to).map(|d| d.host) else {
                 return Err(io::ErrorKind::ConnectionRefused.into());
@@ -653,14 +697,16 @@
             if s.ways.len() % 256 == 0 {
                 s.ways.retain(|w| w.2.strong_count() > 0);
             }
-            let far = End { state: state.clone(), peer: near, read: a.clone(), write: b.clone() };
+            let (hosts, state2) = ((host, no), state.clone());
+            let far = End { state: state2, hosts, peer: near, read: a.clone(), write: b.clone() };
             if let Some(door) = s.doors.get_mut(&to) {
                 door.waiting.push_back(far);
                 if let Some(waker) = door.waker.take() {
                     waker.wake();
                 }
             }
-            Ok(Box::new(End { state: state.clone(), peer: to, read: b, write: a }) as Box<dyn Stream>)
+            let hosts = (no, host);
+            Ok(Box::new(End { state: state.clone(), hosts, peer: to, read: b, write: a }) as Box<dyn Stream>)
         })
     }
 
@@ -764,10 +810,62 @@
             .expect("it came to its end");
     }
 
+    /// Cuts of a link by pair and direction: without a sign, with a reset, and an end that nobody is told of.
+    #[test]
+    fn links_are_cut_by_pair_and_direction() {
+        let world = World::new(5, 0);
+        let (a, _on_a) = world.host(1, 0);
+        let (b, mut power) = world.host(2, 0);
+        let (c, _on_c) = world.host(3, 0);
+        let to = SocketAddr::new(address(1), 80);
+        let door = a.listen(to).unwrap();
+        let links = world.clone();
+        world
+            .run(async move {
+                let mut near = b.connect(to).await.unwrap();
+                let mut far = door.accept().await.unwrap();
+                let set = |from, to, w: Weather| links.link(from, to, Some(w));
+                set(2, 1, Weather { cut: Some(Cut::Silent), ..USUAL });
+                near.write_all(b"up").await.unwrap();
+                far.write_all(b"down").await.unwrap();
+                let mut word = [0; 4];
+                near.read_exact(&mut word).await.unwrap();
+                assert_eq!(&word, b"down", "the other way is whole");
+                let (clock, begun) = (a.clone(), a.now());
+                let (heal, wait) = (links.clone(), clock.sleep_until(begun + 5_000_000));
+                a.spawn(Box::pin(async move {
+                    wait.await;
+                    heal.link(2, 1, None);
+                }))
+                .detach();
+                let mut word = [0; 2];
+                far.read_exact(&mut word).await.unwrap();
+                assert!(a.now() - begun >= 5_000_000, "what was under way came after the cut");
+                // Killed, and nobody is told.
+                set(2, 1, Weather { half_open: true, ..USUAL });
+                power.kill();
+                let wait = async {
+                    clock.sleep_until(clock.now() + 60_000_000).await;
+                    None
+                };
+                let read = async { Some(far.read(&mut word).await) };
+                assert!(future::or(read, wait).await.is_none(), "held for open");
+                links.link(2, 1, None);
+                assert_eq!(far.read(&mut word).await.unwrap_err().kind(), io::ErrorKind::ConnectionReset);
+                // Reset: what is there breaks, and nothing new comes about, between these two alone.
+                let mut third = c.connect(to).await.unwrap();
+                set(3, 1, Weather { cut: Some(Cut::Reset), ..USUAL });
+                assert!(third.read(&mut word).await.is_err() && c.connect(to).await.is_err());
+                links.link(3, 1, None);
+                assert!(c.connect(to).await.is_ok());
+            })
+            .expect("it came to its end");
+    }
+
     #[test]
     fn datagrams_are_lost_and_doubled_by_share() {
         let world = World::new(3, 0);
-        world.weather(Weather { loss: 0.2, double: 0.1, ..Weather::default() });
+        world.weather(Weather { loss: 0.2, double: 0.1, ..USUAL });
         let ((a, _on_a), (b, _on_b)) = (world.host(1, 0), world.host(2, 0));
         let got = world.run(async move {
             let (from, to) =
--- a/crates/standin/src/network.rs
+++ b/crates/standin/src/network.rs
@@ -2,7 +2,10 @@
 //! datagrams and for streams. What goes over it is moved by relays on loopback: one for each receiver of datagrams, who
 //! knows senders by their addresses, and one for each pair that streams go between.
 
+pub use chalkgap_runtime::weather::{Cut, Weather};
+
 use chalkgap_pipe::while_alive;
+use chalkgap_runtime::weather::LOOK;
 use chalkgap_runtime::{Datagrams, Listener, Micros, Shared, Stream};
 use futures_lite::{future, AsyncReadExt, AsyncWriteExt};
 use rand::rngs::SmallRng;
@@ -12,10 +15,6 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-/// How often a relay of streams looks whether its link has changed.
-const LOOK: Micros = 10_000;
-/// What a loss costs a stream: it is sent again after this.
-const AGAIN: Micros = 200_000;
 /// A slow link's queue; datagrams that would wait longer are lost.
 const QUEUE: Micros = 1_000_000;
 
@@ -30,47 +29,6 @@
     Roster,
 }
 
-/// How a link is cut.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Cut {
-    /// Nothing comes through, and nothing says so.
-    Silent,
-    /// Streams are reset, and new ones closed at once; datagrams are lost.
-    Reset,
-}
-
-/// What a link does in one direction. Shares are from 0 to 1.
-#[derive(Clone, Debug, Default, PartialEq)]
-pub struct Weather {
-    /// Lost; on a stream it comes later.
-    pub loss: f64,
-    /// Datagrams sent twice.
-    pub double: f64,
-    /// The least and the longest way. With a span, datagrams overtake each other.
-    pub delay: (Micros, Micros),
-    /// Share that is as late again as ten longest ways.
-    pub tail: f64,
-    /// Bytes a second; 0: any number.
-    pub rate: u64,
-    /// Nothing goes through.
-    pub cut: Option<Cut>,
-    /// An end of a stream is not passed on: the other side holds it for open.
-    pub half_open: bool,
-}
-
-impl Weather {
-    /// How long something is under way.
-    fn late(&self, rng: &mut SmallRng) -> Micros {
-        let tail = if rng.random::<f64>() < self.tail { 10 * self.delay.1 } else { 0 };
-        rng.random_range(self.delay.0..=self.delay.1.max(self.delay.0)) + tail
-    }
-
-    /// How long so many bytes take to pass.
-    fn passing(&self, bytes: usize) -> Micros {
-        (bytes as u64 * 1_000_000).checked_div(self.rate).unwrap_or(0)
-    }
-}
-
 #[derive(Default)]
 struct State {
     usual: Weather,
@@ -101,7 +59,7 @@
 
     /// What the links do that nobody has set.
     pub fn usual(&self) -> Weather {
-        self.lock().usual.clone()
+        self.lock().usual
     }
 
     /// Changes a link in one direction; none: it is like the others again.
@@ -126,8 +84,8 @@
     /// A link as it is now; `stream`: what is usual for datagrams alone is not in it.
     fn weather(&self, from: Option<Party>, to: Party, stream: bool) -> Weather {
         let s = self.lock();
-        let link = from.and_then(|f| s.links.get(&(f, to)).cloned());
-        link.unwrap_or_else(|| if stream { Weather::default() } else { s.usual.clone() })
+        let link = from.and_then(|f| s.links.get(&(f, to)).copied());
+        link.unwrap_or_else(|| if stream { Weather::default() } else { s.usual })
     }
 }
 
@@ -323,8 +281,7 @@
             let _ = write.close().await; // it may have ended itself
             return;
         }
-        let again = if rng.random::<f64>() < w.loss { AGAIN } else { 0 };
-        let late = w.late(&mut rng) + w.passing(n) + again;
+        let late = w.late_on_stream(&mut rng) + w.passing(n);
         if late > 0 {
             runtime.sleep_until(runtime.now() + late).await;
         }
@@ -333,3 +290,120 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use chalkgap_runtime::virtual_world::World;
+
+    const LINK: (Party, Party) = (Party::Ingress(1), Party::Node(0));
+
+    /// Reads some, or gives up after a while.
+    async fn read(
+        runtime: &Shared,
+        stream: &mut Box<dyn Stream>,
+        wait: Micros,
+    ) -> Option<io::Result<Vec<u8>>> {
+        let mut buffer = [0; 64];
+        let sleep = async {
+            runtime.sleep_until(runtime.now() + wait).await;
+            None
+        };
+        let got = async { Some(stream.read(&mut buffer).await) };
+        Some(future::or(got, sleep).await?.map(|n| buffer[..n].to_vec()))
+    }
+
+    #[test]
+    fn streams_are_cut_reset_slowed_and_held_for_open_by_link_and_direction() {
+        let world = World::new(1, 1_000_000);
+        let (host, _on) = world.host(1, 0);
+        let runtime: Shared = host;
+        world
+            .run(async move {
+                let listener = runtime.listen(([127, 0, 0, 1], 0).into()).unwrap();
+                let network = Network::default();
+                let way = Way::start(runtime.clone(), network.clone(), LINK, listener.address(), 7).unwrap();
+                let mut near = runtime.connect(way.address()).await.unwrap();
+                let mut far = listener.accept().await.unwrap();
+                let set = |from, to, w| network.set(from, to, Some(w));
+                let (there, back) = (LINK, (LINK.1, LINK.0));
+                set(there.0, there.1, Weather { cut: Some(Cut::Silent), ..Weather::default() });
+                near.write_all(b"up").await.unwrap();
+                far.write_all(b"down").await.unwrap();
+                assert_eq!(read(&runtime, &mut near, 1_000_000).await.unwrap().unwrap(), b"down");
+                assert!(read(&runtime, &mut far, 60_000_000).await.is_none(), "nothing, and nothing says so");
+                network.set(there.0, there.1, None);
+                assert_eq!(
+                    read(&runtime, &mut far, 1_000_000).await.unwrap().unwrap(),
+                    b"up",
+                    "nothing was lost"
+                );
+                set(back.0, back.1, Weather { rate: 1000, ..Weather::default() });
+                let begun = runtime.now();
+                far.write_all(&[7; 50]).await.unwrap();
+                assert_eq!(read(&runtime, &mut near, 1_000_000).await.unwrap().unwrap().len(), 50);
+                assert!((50_000..80_000).contains(&(runtime.now() - begun)), "50 bytes at 1,000 a second");
+                set(back.0, back.1, Weather { half_open: true, ..Weather::default() });
+                drop(far);
+                assert!(read(&runtime, &mut near, 60_000_000).await.is_none(), "held for open");
+                network.set(back.0, back.1, None);
+                assert!(
+                    matches!(read(&runtime, &mut near, 1_000_000).await, Some(Ok(end)) if end.is_empty())
+                );
+                let mut near = runtime.connect(way.address()).await.unwrap();
+                let _far = listener.accept().await.unwrap();
+                set(there.0, there.1, Weather { cut: Some(Cut::Reset), ..Weather::default() });
+                let ends = |got: Option<io::Result<Vec<u8>>>| {
+                    matches!(got, Some(Err(_))) || matches!(got, Some(Ok(b)) if b.is_empty())
+                };
+                assert!(ends(read(&runtime, &mut near, 1_000_000).await), "what is there ends");
+                let mut new = runtime.connect(way.address()).await.unwrap();
+                assert!(ends(read(&runtime, &mut new, 1_000_000).await), "and what is new");
+            })
+            .expect("it came to its end");
+    }
+
+    #[test]
+    fn datagrams_know_their_link_by_who_sends() {
+        let world = World::new(2, 1_000_000);
+        let (host, _on) = world.host(1, 0);
+        let runtime: Shared = host;
+        world
+            .run(async move {
+                let socket = || runtime.datagrams(([127, 0, 0, 1], 0).into()).unwrap();
+                let (a, b, c) = (socket(), socket(), socket());
+                let network = Network::default();
+                let party = Party::Ingress(2);
+                let relay = Relay::start(runtime.clone(), network.clone(), party, c.address(), 7).unwrap();
+                network.sends_from(a.address(), Party::Ingress(0));
+                network.sends_from(b.address(), Party::Ingress(1));
+                let cut = Weather { cut: Some(Cut::Silent), ..Weather::default() };
+                network.set(Party::Ingress(0), party, Some(cut));
+                network.set(party, Party::Ingress(1), Some(cut)); // the other way: of no concern
+                for n in 0..10 {
+                    a.send(&[1, n], relay.address()).await.unwrap();
+                    b.send(&[2, n], relay.address()).await.unwrap();
+                }
+                let mut got = Vec::new();
+                let end = runtime.now() + 1_000_000;
+                let mut buffer = [0; 8];
+                loop {
+                    let late = async {
+                        runtime.sleep_until(end).await;
+                        None
+                    };
+                    match future::or(async { c.receive(&mut buffer).await.ok() }, late).await {
+                        Some(_) => got.push(buffer[0]),
+                        None => break,
+                    }
+                }
+                assert_eq!(got, [2; 10]);
+                assert_eq!(
+                    network.sent()[&(Party::Ingress(0), 1)],
+                    (10, 20),
+                    "what was sent, arrived or not"
+                );
+            })
+            .expect("it came to its end");
+    }
+}
