--- a/crates/allotment/src/holder.rs
+++ b/crates/allotment/src/holder.rs
@@ -1,16 +1,26 @@
 //! Who spends. One holder for one account and one limit.
 
 use crate::{Epoch, Grant, Micros, Number, Terms, Units};
-use std::collections::VecDeque;
 
 /// Grants that a holder has at once at most; more are given back unspent.
 pub const MOST_GRANTS: usize = 8;
 
-/// Questions whose answers are still taken.
-const MOST_ASKED: usize = 4;
+/// Closed questions that are told with each question: one of so many gets through.
+pub const MOST_CLOSED: usize = 8;
 /// The part of a term that an answer may take before another question is asked.
 const ANSWER: u64 = 10;
 
+/// What a holder asks its owner.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Ask {
+    /// Comes back with the answer.
+    pub question: u64,
+    /// Questions whose answers did not come, and will not be taken any more; 0: none.
+    pub closed: [u64; MOST_CLOSED],
+    /// The epoch that the holder goes by.
+    pub epoch: Epoch,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Held {
     grant: Grant,
@@ -30,14 +40,17 @@
     /// however often it comes, and may overtake others.
     highest: u64,
     taken: u64,
-    /// Questions that are open, and when they were asked, the last one at the end.
-    asked: VecDeque<(u64, Micros)>,
+    /// The question that is open, and when it was asked.
+    open: Option<(u64, Micros)>,
+    /// The last ones that were closed without an answer.
+    closed: [u64; MOST_CLOSED],
     questions: u64,
 }
 
 impl Holder {
-    /// A holder of nothing.
-    pub fn new(me: Number, terms: Terms) -> Holder {
+    /// A holder of nothing. `start`: later than at all starts before, as its questions are numbered from there: what an
+    /// earlier one asked and spent must not be taken for a question of this one.
+    pub fn new(me: Number, terms: Terms, start: u64) -> Holder {
         Holder {
             me,
             terms,
@@ -45,36 +58,37 @@
             held: Vec::new(),
             highest: 0,
             taken: 0,
-            asked: VecDeque::new(),
-            questions: 0,
+            open: None,
+            closed: [0; MOST_CLOSED],
+            questions: start,
         }
     }
 
-    /// Asks: the question's number goes with it, and comes back with the answer, which is dated by it. None: one is open,
-    /// and its answer may still come. What is granted twice is taken once, and lost for a term.
-    pub fn ask(&mut self, now: Micros) -> Option<u64> {
-        if self.asked.back().is_some_and(|a| now < a.1 + self.terms.term / ANSWER) {
-            return None;
-        }
-        if self.asked.len() >= MOST_ASKED {
-            self.asked.pop_front();
+    /// Asks. None: a question is open, and its answer may still come. One that was open for long is closed: its answer is
+    /// never taken from now on, and the owner may have back what it granted.
+    pub fn ask(&mut self, now: Micros) -> Option<Ask> {
+        if let Some((question, asked)) = self.open {
+            if now < asked + self.terms.term / ANSWER {
+                return None;
+            }
+            self.closed.rotate_right(1);
+            self.closed[0] = question;
         }
         self.questions += 1;
-        self.asked.push_back((self.questions, now));
-        Some(self.questions)
+        self.open = Some((self.questions, now));
+        Some(Ask { question: self.questions, closed: self.closed, epoch: self.epoch })
     }
 
     /// Takes the answer to a question. False: late, doubled, of a lower epoch, or another's; it is not spent here, and
     /// ends by its term.
     pub fn take(&mut self, now: Micros, question: u64, grant: Grant) -> bool {
-        let Some(at) = self.asked.iter().position(|a| a.0 == question) else { return false };
-        let asked = self.asked[at].1;
+        let Some((_, asked)) = self.open.filter(|o| o.0 == question) else { return false };
         let until = self.terms.holder_until(asked);
         self.drop_over(now);
         if grant.holder != self.me || now >= until || self.held.len() >= MOST_GRANTS || !self.is_new(grant) {
             return false;
         }
-        self.asked.remove(at);
+        self.open = None;
         self.held.push(Held { grant, spent: 0, until });
         true
     }
@@ -125,11 +139,6 @@
         self.held.iter().filter(|h| h.until > now).map(|h| h.grant.units - h.spent).sum()
     }
 
-    /// The epoch that it goes by: told with each question.
-    pub fn epoch(&self) -> Epoch {
-        self.epoch
-    }
-
     /// Grants of which nothing is left, to be told to the owner: what is out takes the room of what could be granted.
     pub fn done(&mut self) -> Vec<(Grant, Units)> {
         let all = |h: &Held| h.spent == h.grant.units;
--- a/crates/allotment/src/lib.rs
+++ b/crates/allotment/src/lib.rs
@@ -17,7 +17,7 @@
 pub mod slot;
 pub mod store;
 
-pub use holder::Holder;
+pub use holder::{Ask, Holder};
 pub use owner::{Grant, Owner, Refused};
 pub use slot::{Candidate, Voter};
 pub use store::{Limit, Store};
--- a/crates/allotment/src/owner.rs
+++ b/crates/allotment/src/owner.rs
@@ -1,6 +1,6 @@
 //! Who hands out. One owner for one account and one limit.
 
-use crate::{Epoch, Limit, Micros, Number, Store, Terms, Units};
+use crate::{Ask, Epoch, Limit, Micros, Number, Store, Terms, Units};
 use std::collections::BTreeMap;
 
 /// What a holder gets.
@@ -25,6 +25,9 @@
     /// There is nothing to give; when there is a unit again.
     #[error("nothing is left, until in {0} us")]
     Empty(Micros),
+    /// It has answered this question, or a later one.
+    #[error("a question that was answered, or is overtaken")]
+    Again,
     /// It is the owner no longer.
     #[error("no owner any more")]
     Over,
@@ -32,6 +35,7 @@
 
 struct Out {
     holder: Number,
+    question: u64,
     units: Units,
     until: Micros,
 }
@@ -46,6 +50,8 @@
     /// It may grant until then; renewed with the votes that made it the owner.
     until: Micros,
     out: BTreeMap<u64, Out>,
+    /// The last question of each holder: one that comes again, or late, gets nothing new.
+    asked: BTreeMap<Number, u64>,
     /// Their units.
     outstanding: Units,
     next: u64,
@@ -70,6 +76,7 @@
             opens,
             until,
             out: BTreeMap::new(),
+            asked: BTreeMap::new(),
             outstanding: 0,
             next: 1,
         }
@@ -100,11 +107,11 @@
         }
     }
 
-    /// Grants up to `want` units to a holder.
+    /// Grants up to `want` units to a holder that asks. What was granted to questions that it has closed comes back.
     ///
     /// # Errors
     /// See [`Refused`].
-    pub fn grant(&mut self, now: Micros, holder: Number, want: Units) -> Result<Grant, Refused> {
+    pub fn grant(&mut self, now: Micros, holder: Number, ask: &Ask, want: Units) -> Result<Grant, Refused> {
         // Looked at first: one that slept past its term wakes with the asks that waited for it.
         if now >= self.until {
             return Err(Refused::Over);
@@ -113,6 +120,17 @@
             return Err(Refused::Waiting(self.opens - now));
         }
         self.settle(now);
+        let closed = |o: &Out| o.holder == holder && ask.closed.contains(&o.question);
+        let back: Vec<u64> = self.out.iter().filter(|o| closed(o.1)).map(|o| *o.0).collect();
+        for out in back.iter().filter_map(|id| self.out.remove(id)) {
+            self.outstanding -= out.units;
+            self.store.put_back(out.units);
+        }
+        let last = self.asked.entry(holder).or_default();
+        if ask.question <= *last {
+            return Err(Refused::Again);
+        }
+        *last = ask.question;
         let units = want.min(self.store.level().div_ceil(PART));
         if units == 0 || self.out.len() >= MOST_OUT || !self.store.take(units) {
             return Err(Refused::Empty(1_000_000 / self.store.limit().rate.max(1)));
@@ -120,7 +138,8 @@
         let id = self.next;
         self.next += 1;
         self.outstanding += units;
-        self.out.insert(id, Out { holder, units, until: self.terms.giver_until(now) });
+        self.out
+            .insert(id, Out { holder, question: ask.question, units, until: self.terms.giver_until(now) });
         Ok(Grant { epoch: self.epoch, id, holder, units })
     }
 
--- a/crates/allotment/tests/never_over.rs
+++ b/crates/allotment/tests/never_over.rs
@@ -1,7 +1,7 @@
 //! Owners, voters and holders with clocks that differ, messages that are lost, late, doubled and overtake each other,
 //! instances that are killed, started again, stopped, and cut off; and one who counts every unit that is spent.
 
-use chalkgap_allotment::{Candidate, Grant, Holder, Limit, Micros, Owner, Terms, Units, Voter};
+use chalkgap_allotment::{Ask, Candidate, Grant, Holder, Limit, Micros, Owner, Terms, Units, Voter};
 use std::collections::BTreeMap;
 
 const MS: Micros = 1_000;
@@ -25,7 +25,7 @@
 enum Word {
     Stand { question: u64, epoch: u64 },
     Vote(chalkgap_allotment::slot::Vote),
-    Want { question: u64, units: Units, seen: u64 },
+    Want { ask: Ask, units: Units },
     Give { question: u64, grant: Grant },
     Back { grant: Grant, spent: Units },
 }
@@ -103,7 +103,7 @@
             voter: Voter::new(TERMS, own),
             candidate: Candidate::new(TERMS, usize::from(COUNT), u32::from(n)),
             owner: None,
-            holder: Holder::new(n, held),
+            holder: Holder::new(n, held, now),
             owner_is: None,
             pace,
             stopped: 0,
@@ -142,17 +142,18 @@
                     self.own_it(to, epoch, until, limit);
                 }
             }
-            Word::Want { question, units, seen } => {
-                me.candidate.saw(seen);
+            Word::Want { ask, units } => {
+                me.candidate.saw(ask.epoch);
                 let owns = me.candidate.owns(own).is_some() || self.plant == Plant::TwoOwners;
-                let grant = me.owner.as_mut().filter(|_| owns).and_then(|o| o.grant(own, from, units).ok());
+                let grant =
+                    me.owner.as_mut().filter(|_| owns).and_then(|o| o.grant(own, from, &ask, units).ok());
                 if let Some(mut grant) = grant {
                     if self.plant == Plant::TwoOwners {
                         // As if nobody looked at it: each is newer than the last.
                         self.set += 1;
                         grant.epoch = self.set;
                     }
-                    self.send(to, from, Word::Give { question, grant });
+                    self.send(to, from, Word::Give { question: ask.question, grant });
                 }
             }
             Word::Give { question, grant } => {
@@ -233,15 +234,15 @@
         }
         let me = &mut self.all[usize::from(n)];
         if me.holder.left(own) < 3 && self.lot.next() < 0.02 {
-            let Some(question) = me.holder.ask(own) else { return };
-            let (seen, done) = (me.holder.epoch(), me.holder.done());
+            let Some(ask) = me.holder.ask(own) else { return };
+            let done = me.holder.done();
             // Whoever granted last, unless it says nothing any more.
             let chance = self.lot.next() < 0.1;
             let to = me.owner_is.filter(|_| !chance).unwrap_or(self.lot.below(2) as u16);
             for (grant, spent) in done {
                 (0..2).for_each(|to| self.send(n, to, Word::Back { grant, spent }));
             }
-            self.send(n, to, Word::Want { question, units: 6, seen });
+            self.send(n, to, Word::Want { ask, units: 6 });
         }
         if self.lot.next() < 0.0005 {
             for (grant, spent) in self.all[usize::from(n)].holder.give_up() {
