Membership: what a view says of itself is made once; a digest is compared once a message

Found in reading the change again: the figures beside a view's facts were clamped and put together in the decider for visitors, and again in the gateway for its own handle, and a third time from what a visitor gets; a message's digest was compared twice. Membership::shown and ShownView::new serve all three; a question about slowness that nobody asks is gone.

--- a/crates/cli/src/serve.rs
+++ b/crates/cli/src/serve.rs
@@ -58,7 +58,8 @@
             serde_json::json!({"grpc": instance.grpc_address().to_string(), "mqtt": mqtt, "peers": peer});
         println!("{line}");
         let _ = std::io::stdout().flush(); // nobody may read it
-                                           // Where another process has taken this one's number, two would give what one may: this one ends.
+
+        // Where another process has taken this one's number, two would give what one may: this one ends.
         let over = instance.superseded();
         let signal = async {
             signals.next().await;
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -90,17 +90,9 @@
     /// The view as it is now.
     pub(crate) fn shown(&self) -> ShownView {
         let (inner, now) = (self.lock(), self.runtime.now());
-        let (member, view) = (&inner.member, inner.member.view());
-        ShownView {
-            owner: member.number(),
-            number: view.number(),
-            digest: format!("{:016x}", view.digest()),
-            standing: standing_name(member.standing() as u8),
-            counting: view.counting().min(usize::from(u16::MAX)) as u16,
-            of: member.basis().min(usize::from(u16::MAX)) as u16,
-            late: member.late(1),
-            members: view.members().map(|m| ShownMember::new(&m.fact, now.saturating_sub(m.since))).collect(),
-        }
+        let view = inner.member.view();
+        let members = view.members().map(|m| ShownMember::new(&m.fact, now.saturating_sub(m.since)));
+        ShownView::new(inner.member.shown(), view.digest(), members.collect())
     }
 
     /// Where a member that counts as in receives datagrams.
@@ -271,6 +263,14 @@
     pub members: Vec<ShownMember>,
 }
 
+impl ShownView {
+    fn new(shown: Shown, digest: u64, members: Vec<ShownMember>) -> ShownView {
+        let Shown { owner, number, counting, of, standing, late, next: _ } = shown;
+        let (digest, standing) = (format!("{digest:016x}"), standing_name(standing));
+        ShownView { owner, number, digest, standing, counting, of, late, members }
+    }
+}
+
 /// Why no view is shown.
 #[derive(Debug, thiserror::Error)]
 pub enum ShowError {
@@ -321,16 +321,7 @@
         }
     }
     let (shown, digest) = head.ok_or(ShowError::Silent(address))?;
-    Ok(ShownView {
-        owner: shown.owner,
-        number: shown.number,
-        digest: format!("{digest:016x}"),
-        standing: standing_name(shown.standing),
-        counting: shown.counting,
-        of: shown.of,
-        late: shown.late,
-        members,
-    })
+    Ok(ShownView::new(shown, digest, members))
 }
 
 async fn part(
--- a/crates/membership/src/detector.rs
+++ b/crates/membership/src/detector.rs
@@ -16,8 +16,9 @@
 /// Questions and errands open at once.
 const OPEN: usize = 64;
 /// Suspected ones from which on a last question has one helper only: a death of half the fleet is not to take all the
-/// messages that a member may send. Messages that each such question then costs each member, as asker and as helper.
+/// messages that a member may send.
 const MASS: usize = 8;
+/// Messages that each such question then costs each member, as asker and as helper.
 const MASS_QUESTION: f64 = 5.0;
 /// One's own slowness at most: rounds and spans are this many times as long then.
 const SLOWEST: u32 = 8;
@@ -194,7 +195,6 @@
             config,
         };
         me.standing = me.basis.look(&me.view, !alone);
-        me.changed = false;
         me
     }
 
@@ -218,9 +218,18 @@
         self.basis.of()
     }
 
-    /// How many times as long as usual its rounds are: its own slowness, 1 if it is well.
-    pub fn slowness(&self) -> u32 {
-        self.slow
+    /// What is said of the view beside its facts.
+    pub fn shown(&self) -> Shown {
+        let short = |n: usize| n.min(usize::from(u16::MAX)) as u16;
+        Shown {
+            owner: self.config.me,
+            number: self.view.number(),
+            counting: short(self.view.counting()),
+            of: short(self.basis.of()),
+            standing: self.standing as u8,
+            late: self.late(1),
+            next: None,
+        }
     }
 
     /// How late the view may be about a death, where a message in five is lost or fewer and half the fleet dies or less.
@@ -680,12 +689,11 @@
             }
         } else {
             self.alike = 0;
-        }
-        // A view that differs while there is news is about to be the same by itself; what is left then is compared.
-        let round = self.config.round;
-        if message.digest != self.view.digest() && now >= self.next_compare && self.view.get(from).is_some() {
-            self.next_compare = now + round;
-            self.tell(now, from, Kind::Sums { ask: true, sums: self.view.sums() }, 0);
+            // One that differs while there is news is about to be the same by itself; what is left then is compared.
+            if now >= self.next_compare && self.view.get(from).is_some() {
+                self.next_compare = now + self.config.round;
+                self.tell(now, from, Kind::Sums { ask: true, sums: self.view.sums() }, 0);
+            }
         }
         self.look(now);
         Ok(())
@@ -713,15 +721,7 @@
     }
 
     fn show(&mut self, now: Micros, to: SocketAddr, nonce: u32, from: Number) {
-        let shown = Shown {
-            owner: self.config.me,
-            number: self.view.number(),
-            counting: self.view.counting().min(usize::from(u16::MAX)) as u16,
-            of: self.basis.of().min(usize::from(u16::MAX)) as u16,
-            standing: self.standing as u8,
-            late: self.late(1),
-            next: None,
-        };
+        let shown = self.shown();
         let mut page = Message::new(Kind::Shown(shown), nonce, self.view.digest());
         let rest = self.view.members().filter(|m| m.fact.number >= from);
         let mut next = None;
