Lab: one way to change links for a while, one to wait for a process, meetings without a dead branch

Found in reading the change again. Messages lost by all, and a zone cut off, set links by loops of their own beside the one for links by pair: they name their pairs now. Kill repeated the crash but for coming back. Leave gathered futures that ran one after the other all the same: a loop, and the doc says so. Waiting for a process to end stood in two places. The auditor's meetings went through parts that could only be one. No ways are written down where streams go straight.

--- a/crates/lab/src/day.rs
+++ b/crates/lab/src/day.rs
@@ -356,7 +356,7 @@
     HalfOpen,
     /// Ingresses are killed; they come back after `lasts`, or never where that is 0.
     Kill,
-    /// Ingresses leave in order, and stay away.
+    /// Ingresses leave in order, one after the other, and stay away.
     Leave,
     /// Ingresses of the reserve are started.
     Join,
--- a/crates/lab/src/drill/mod.rs
+++ b/crates/lab/src/drill/mod.rs
@@ -152,6 +152,12 @@
 
 impl World {
     fn new(runtime: Shared, day: Day, home: Home) -> Result<Arc<World>, DrillError> {
+        if day.fleet.is_some() && home == Home::Here {
+            return Err(DrillError::Day {
+                path: "day.fleet".into(),
+                what: "expected processes (--processes), found ingresses in this one".into(),
+            });
+        }
         static DRILLS: AtomicU64 = AtomicU64::new(0);
         let unique =
             format!("chalkgap-drill-{}-{}", std::process::id(), DRILLS.fetch_add(1, Ordering::Relaxed));
@@ -160,12 +166,6 @@
         let journal = Journal::default();
         let roster = Roster::start(runtime.clone(), ([127, 0, 0, 1], 0).into(), journal.clone());
         let roster = roster.map_err(io_error("the roster"))?;
-        if day.fleet.is_some() && home == Home::Here {
-            return Err(DrillError::Day {
-                path: "day.fleet".into(),
-                what: "expected processes (--processes), found ingresses in this one".into(),
-            });
-        }
         let (mut relays, mut peers) = (Vec::new(), Vec::new());
         let network = Network::new(weather(&day));
         let numbers = day.ingresses + day.reserve;
@@ -283,7 +283,7 @@
         let zones = day.zones.len();
         let memory = (day.key_memory_s * 1e6) as Micros;
         let cells: Vec<Cell> = day.zones.iter().map(|z| Cell::new(z, memory)).collect();
-        let (mut nodes, mut seen) = (Vec::new(), HashMap::new());
+        let (mut nodes, mut whereabouts) = (Vec::new(), HashMap::new());
         for g in &day.nodes {
             for _ in 0..g.count {
                 let (n, rules) = (nodes.len(), &slots[0].settings.rules);
@@ -303,16 +303,16 @@
                 let zone = n % zones;
                 let address = free_port()?;
                 let faults = Faults::default();
-                for ingress in 0..numbers {
-                    let at = way(ingress, Party::Node(nodes.len()), address)?;
-                    seen.insert((ingress, address.to_string()), at.to_string());
+                for ingress in (0..numbers).filter(|_| links) {
+                    let at = way(ingress, Party::Node(n), address)?;
+                    whereabouts.insert((ingress, address.to_string()), at.to_string());
                 }
                 nodes.push(NodeSlot { machine, zone, address, node: None, faults, state: 0, started_ms: 0 });
             }
         }
         let roster_at = roster.address();
         // An ingress is told where its own way to a node begins.
-        let whereabouts: Whereabouts = Arc::new(seen);
+        let whereabouts: Whereabouts = Arc::new(whereabouts);
         roster.told_as(whereabouts.clone());
         Ok(Arc::new(World {
             runtime,
--- a/crates/lab/src/drill/processes.rs
+++ b/crates/lab/src/drill/processes.rs
@@ -173,9 +173,7 @@
             }
             Life::Process(mut child) => {
                 signal(child.id(), Signal::TERM);
-                while matches!(child.try_wait(), Ok(None)) && self.runtime.now() < until {
-                    self.pause(0.02).await;
-                }
+                self.ends_by(&mut child, until).await;
                 end(&mut Life::Process(child));
             }
             Life::Down => {}
@@ -183,6 +181,17 @@
         lock(&self.slots)[usize::from(n)].down_since = Some(self.runtime.now());
     }
 
+    /// Waits for a process to end by itself; whether it has, by then.
+    async fn ends_by(&self, child: &mut Child, until: Micros) -> bool {
+        while matches!(child.try_wait(), Ok(None)) {
+            if self.runtime.now() >= until {
+                return false;
+            }
+            self.pause(0.02).await;
+        }
+        true
+    }
+
     /// Starts another process under an ingress's number, at other addresses, while the first one is alive. That one ends
     /// by itself, or is killed.
     pub(super) async fn replace_ingress(&self, n: u16) -> Result<(), DrillError> {
@@ -208,10 +217,7 @@
         self.start_ingress(n).await?;
         if let Life::Process(mut child) = first {
             let until = self.runtime.now() + 10_000_000;
-            while matches!(child.try_wait(), Ok(None)) && self.runtime.now() < until {
-                self.pause(0.02).await;
-            }
-            if matches!(child.try_wait(), Ok(None)) {
+            if !self.ends_by(&mut child, until).await {
                 self.journal.note(self.runtime.now(), Seen::Killed { ingress: n });
             }
             end(&mut Life::Process(child));
--- a/crates/lab/src/drill/troubles.rs
+++ b/crates/lab/src/drill/troubles.rs
@@ -60,22 +60,15 @@
         list.iter().for_each(|(n, _)| self.journal.note(begun, Seen::Stalled { ingress: *n, until }));
     }
 
-    /// A link between ingresses loses more than usual, or as much as usual again.
-    fn lossy(&self, from: u16, to: u16, loss: Option<f64>) {
-        let usual = self.network.usual();
-        let weather = loss.map(|loss| Weather { loss: usual.loss.max(loss), ..usual });
-        self.network.set(Party::Ingress(from), Party::Ingress(to), weather);
-    }
-
     /// Changes links, and says so to the auditor of views: they differ as long as it lasts.
     async fn rough(&self, t: &Trouble, change: &(dyn Fn(&mut Weather) + Sync)) {
         self.act(Act::Rough(true));
-        self.links(t, change).await;
+        self.links(&self.pairs(t), t.lasts, change).await;
         self.act(Act::Rough(false));
     }
 
-    /// Changes all links that a trouble is about for as long as it lasts.
-    async fn links(&self, t: &Trouble, change: &(dyn Fn(&mut Weather) + Sync)) {
+    /// The links that a trouble is about, in their directions.
+    fn pairs(&self, t: &Trouble) -> Vec<(Party, Party)> {
         let ingresses = 0..self.day.ingresses + self.day.reserve;
         let parts: Vec<Vec<u16>> =
             if t.parts.is_empty() { ingresses.map(|n| vec![n]).collect() } else { t.parts.clone() };
@@ -95,14 +88,19 @@
                 }
             }
         }
-        for (from, to) in &pairs {
+        pairs
+    }
+
+    /// Changes links for a while.
+    async fn links(&self, pairs: &[(Party, Party)], seconds: f64, change: &(dyn Fn(&mut Weather) + Sync)) {
+        for (from, to) in pairs {
             let between = matches!((from, to), (Party::Ingress(_), Party::Ingress(_)));
             // What is usual is the network's between ingresses; streams to nodes and the roster pass at once.
             let mut weather = if between { self.network.usual() } else { Weather::default() };
             change(&mut weather);
             self.network.set(*from, *to, Some(weather));
         }
-        self.pause(t.lasts).await;
+        self.pause(seconds).await;
         pairs.iter().for_each(|(from, to)| self.network.set(*from, *to, None));
     }
 
@@ -117,11 +115,13 @@
             }
         };
         match t.kind {
-            Kind::BalancerCrash => {
-                let list = self.which(t, ingresses, seed);
+            Kind::BalancerCrash | Kind::Kill => {
+                let list = self.which(t, numbers, seed);
                 list.iter().for_each(|n| self.kill_ingress(*n as u16));
                 self.pause(t.lasts).await;
-                for n in list {
+                // Killed without an end: for good.
+                let back = t.kind == Kind::BalancerCrash || t.lasts > 0.0;
+                for n in list.into_iter().filter(|_| back) {
                     self.start_ingress(n as u16).await?;
                 }
             }
@@ -175,21 +175,9 @@
                 self.act(Act::Rough(false));
                 self.stalled(&list, begun);
             }
-            Kind::Kill => {
-                let list = self.which(t, numbers, seed);
-                list.iter().for_each(|n| self.kill_ingress(*n as u16));
-                if t.lasts > 0.0 {
-                    self.pause(t.lasts).await;
-                    for n in list {
-                        self.start_ingress(n as u16).await?;
-                    }
-                }
-            }
             Kind::Leave => {
-                let list = self.which(t, numbers, seed);
-                let tasks: Vec<_> = list.into_iter().map(|n| self.drain_ingress(n as u16)).collect();
-                for task in tasks {
-                    task.await;
+                for n in self.which(t, numbers, seed) {
+                    self.drain_ingress(n as u16).await;
                 }
             }
             Kind::Join => {
@@ -209,7 +197,7 @@
                     self.rough(t, &|w| w.cut = Some(cut)).await;
                 } else {
                     self.act(Act::Parts(parts));
-                    self.links(t, &|w| w.cut = Some(cut)).await;
+                    self.links(&self.pairs(t), t.lasts, &|w| w.cut = Some(cut)).await;
                     self.act(Act::Parts(Vec::new()));
                 }
             }
@@ -278,16 +266,11 @@
                 let inside = |n: usize| lock(&self.nodes)[n].zone == zone;
                 let there: Vec<usize> = (0..nodes).filter(|n| inside(*n)).collect();
                 there.iter().for_each(|n| self.change_node(*n, |f| (f.mute, f.hang) = (true, true)));
-                let to_zone = |loss: Option<f64>| {
-                    let inside = |n: &u16| usize::from(*n) % self.day.zones.len() == zone;
-                    let all = 0..self.day.ingresses;
-                    for to in all.clone().filter(inside) {
-                        all.clone().for_each(|from| self.lossy(from, to, loss));
-                    }
-                };
-                to_zone(Some(1.0));
-                self.pause(t.lasts).await;
-                to_zone(None);
+                let inside = |n: &u16| usize::from(*n) % self.day.zones.len() == zone;
+                let all = || 0..self.day.ingresses;
+                let to = |to| all().map(move |from| (Party::Ingress(from), Party::Ingress(to)));
+                let pairs: Vec<_> = all().filter(inside).flat_map(to).collect();
+                self.links(&pairs, t.lasts, &|w| w.loss = 1.0).await;
                 there.iter().for_each(|n| self.change_node(*n, |f| (f.mute, f.hang) = (false, false)));
             }
             Kind::HotKey => {
@@ -343,14 +326,7 @@
             }
             Kind::Shift => lock(&self.mood).shift += 1,
             Kind::PeerLoss => {
-                let all = |loss: Option<f64>| {
-                    for from in 0..self.day.ingresses {
-                        (0..self.day.ingresses).for_each(|to| self.lossy(from, to, loss));
-                    }
-                };
-                all(Some(t.strength));
-                self.pause(t.lasts).await;
-                all(None);
+                self.links(&self.pairs(t), t.lasts, &|w| w.loss = w.loss.max(t.strength)).await;
             }
             Kind::RosterDown => {
                 *lock(&self.roster) = None;
--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -249,36 +249,25 @@
         if next < until {
             continue;
         }
-        let span = Span::of(e, *at, until);
-        let Some(parts) = span.parts.last().filter(|_| span.parts.len() == 1) else { continue };
-        let all: Vec<Vec<u16>> =
-            if parts.is_empty() { vec![span.well.iter().copied().collect()] } else { parts.clone() };
         // A cut takes as long as deaths do; only a heal is judged here.
-        if !parts.is_empty() {
+        let span = Span::of(e, *at, until);
+        if span.parts != [Vec::<Vec<u16>>::new()] {
             continue;
         }
-        for part in all {
-            let mut held: BTreeMap<u16, Option<(u64, String)>> =
-                part.iter().filter(|p| span.well.contains(p)).map(|p| (*p, None)).collect();
-            let mut last = None;
-            for l in e.lines.iter().filter(|l| l.at <= until) {
-                let (Some(slot), Some(number), Some(digest)) = (held.get_mut(&l.me), l.number, &l.digest)
-                else {
-                    continue;
-                };
-                *slot = Some((number, digest.clone()));
-                let mut views = held.values();
-                let first = views.next();
-                let equal = views.all(|v| Some(v) == first);
-                match (equal, last) {
-                    (true, None) => last = Some(l.at),
-                    (false, _) => last = None,
-                    _ => {}
-                }
-            }
-            let seen = last.map_or(f64::INFINITY, |t| t.saturating_sub(*at) as f64 / S);
-            s.case(seen, || format!("after {act:?}: {held:?}"));
+        let mut held: BTreeMap<u16, Option<(u64, String)>> = span.well.iter().map(|p| (*p, None)).collect();
+        let mut last = None;
+        for l in e.lines.iter().filter(|l| l.at <= until) {
+            let (Some(slot), Some(number), Some(digest)) = (held.get_mut(&l.me), l.number, &l.digest) else {
+                continue;
+            };
+            *slot = Some((number, digest.clone()));
+            let mut views = held.values();
+            let first = views.next();
+            let equal = views.all(|v| Some(v) == first);
+            last = if equal { last.or(Some(l.at)) } else { None };
         }
+        let seen = last.map_or(f64::INFINITY, |t| t.saturating_sub(*at) as f64 / S);
+        s.case(seen, || format!("after {act:?}: {held:?}"));
     }
     s
 }
