Platform: discovery's lists are read by libraries, in any layout, within waits that follow the grace

Need: lists may come indented, and discovery.rs took each line for a whole object (serde_json::from_slice(line) in live): 161 calls for the whole list and 161 watches in 6 s, no change by the watch.

Change: feed.rs is ureq-proto's client machine and serde_json's stream reader; the hand-made reader of heads and chunks goes. A value that has begun must be whole within a call's time. Calls and pauses follow rules.drain_grace (1 s and 0.25 s of 2 s). Errors are types, in list.rs, feed.rs and discovery.rs.

--- a/crates/platform/src/discovery.rs
+++ b/crates/platform/src/discovery.rs
@@ -2,41 +2,83 @@
 //! with the whole list, so what was missed between two of them, a list that was cut off, and versions that went back need
 //! no care of their own.
 
-use crate::feed::Feed;
-use crate::list::{List, Roster};
+use crate::feed::{Feed, FeedError};
+use crate::list::{List, NotTaken, Roster};
 use crate::request::Work;
 use async_channel::{Receiver, Sender};
 use chalkgap::doors::Input;
 use chalkgap_runtime::{Micros, Shared, Stream};
 use futures_lite::{future, AsyncReadExt, AsyncWriteExt};
+use std::future::Future;
 use std::net::SocketAddr;
 
-/// How long a connection or a whole list may take: the agent is on this machine.
-const PATIENCE: Micros = 1_000_000;
-/// A watch that says nothing for so long has ended: an empty line is due every 2 s.
+/// A watch that says nothing for so long has ended: an empty line is due every 2 s, and what it misses counts as told 6 s
+/// after it fell silent. What is left of these is for two further calls, of which one may fall silent as well.
 const SILENCE: Micros = 4_500_000;
-/// The least and the longest pause before discovery is asked again; it doubles between them.
-const AGAIN: (Micros, Micros) = (50_000, 1_000_000);
+/// The least pause before discovery is asked again.
+const AGAIN: Micros = 50_000;
+
+/// How long discovery may take, and how long it is left alone.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Waits {
+    /// A connection, a whole list, or a change that has begun to come may take so long: the agent is on this machine.
+    pub call: Micros,
+    /// The longest pause between two calls that fail; it doubles up to it.
+    pub pause: Micros,
+}
+
+impl Waits {
+    /// Calls made during an outage are never answered, and at its end what the agent has counts as told at once: the longest
+    /// way is what is left of such a call, and a pause. It takes five eighths of the time within which work to a server
+    /// that drains must have ended; the rest is for the machine.
+    pub fn within(drain_grace: Micros) -> Waits {
+        let call = (drain_grace / 2).clamp(100_000, 1_000_000);
+        Waits { call, pause: (drain_grace / 8).clamp(2 * AGAIN, 1_000_000) }
+    }
+}
+
 const READ: usize = 8 << 10;
 
+/// Why discovery is not followed for the moment. The last list stays meanwhile.
+#[derive(Debug, thiserror::Error)]
+enum Lost {
+    #[error("no {what} within {} ms", .within / 1000)]
+    Late { what: &'static str, within: Micros },
+    #[error("{what}: {error}")]
+    Stream { what: &'static str, error: std::io::Error },
+    #[error(transparent)]
+    Feed(#[from] FeedError),
+    #[error("the connection ended before {0}")]
+    Ended(&'static str),
+    #[error(transparent)]
+    NotTaken(#[from] NotTaken),
+    #[error("the ingress has stopped")]
+    Stopped,
+}
+
 /// Follows discovery; `moves` tells of its new addresses, `first` is closed when the first list was told.
+///
+/// The longest way from what counts as told to the driver, by path, with c and p for [`Waits`]: a change on a watch, and a
+/// new address, at once; a watch that is reset, p; one that falls silent, 4.5 s, c and three times 50 ms, of the 6 s that
+/// there are; the end of an outage, c and p.
 pub async fn follow(
     runtime: Shared,
     mut roster: Roster,
     mut address: SocketAddr,
+    waits: Waits,
     moves: Receiver<SocketAddr>,
     driver: Sender<Input<Work>>,
     first: Sender<()>,
 ) {
-    let (mut pause, mut told) = (AGAIN.0, false);
+    let (mut pause, mut told) = (AGAIN, false);
     loop {
         let moved = async { moves.recv().await.ok() };
         let mut taken = false;
         let life = async {
-            let error = live(&runtime, &mut roster, address, &driver, &mut taken, &first).await;
+            let error = live(&runtime, &mut roster, address, waits, &driver, &mut taken, &first).await;
             if !std::mem::replace(&mut told, true) {
                 // Once for each time that it is lost: the calls that fail after it say nothing new.
-                tracing::warn!(discovery = %address, error, "no news of backends, the last list stays");
+                tracing::warn!(discovery = %address, %error, "no news of backends, the last list stays");
             }
             // Between half and the whole of it by lot: ingresses that lost it together do not come back together.
             let lot = runtime.random() % (pause / 2);
@@ -48,40 +90,82 @@
             return;
         }
         if taken {
-            (pause, told) = (AGAIN.0, false);
+            (pause, told) = (AGAIN, false);
         } else {
-            pause = (pause * 2).min(AGAIN.1);
+            pause = (pause * 2).min(waits.pause);
         }
         if let Some(to) = to {
             tracing::info!(from = %address, %to, "discovery has moved");
-            (address, pause) = (to, AGAIN.0);
+            (address, pause) = (to, AGAIN);
         }
     }
 }
 
-async fn within<T>(
+/// A connection with one call on it.
+struct Call<'a> {
+    runtime: &'a Shared,
+    patience: Micros,
+    stream: Box<dyn Stream>,
+    feed: Feed,
+    buffer: [u8; READ],
+}
+
+/// Waits for something that the system does, `within` so long.
+async fn wait<T>(
     runtime: &Shared,
-    until: Micros,
-    act: impl std::future::Future<Output = std::io::Result<T>>,
-) -> Result<T, String> {
+    what: &'static str,
+    within: Micros,
+    act: impl Future<Output = std::io::Result<T>>,
+) -> Result<T, Lost> {
     let late = async {
-        runtime.sleep_until(until).await;
-        Err(std::io::ErrorKind::TimedOut.into())
+        runtime.sleep_until(runtime.now() + within).await;
+        Err(Lost::Late { what, within })
     };
-    future::or(act, late).await.map_err(|e| e.to_string())
+    let done = async { act.await.map_err(|error| Lost::Stream { what, error }) };
+    future::or(done, late).await
 }
 
-async fn call(
-    runtime: &Shared,
-    address: SocketAddr,
-    query: &str,
-    until: Micros,
-) -> Result<Box<dyn Stream>, String> {
-    let mut stream = within(runtime, until, runtime.connect(address)).await?;
-    let text =
-        format!("GET /api/targets{query} HTTP/1.1\r\nHost: {address}\r\nAccept: application/json\r\n\r\n");
-    within(runtime, until, stream.write_all(text.as_bytes())).await?;
-    Ok(stream)
+impl<'a> Call<'a> {
+    async fn new(
+        runtime: &'a Shared,
+        address: SocketAddr,
+        query: &str,
+        patience: Micros,
+    ) -> Result<Call<'a>, Lost> {
+        let (feed, question) = Feed::ask(address, &format!("/api/targets{query}"))?;
+        let open = async {
+            let mut stream = runtime.connect(address).await?;
+            stream.write_all(&question).await?;
+            Ok(stream)
+        };
+        let stream = wait(runtime, "connection", patience, open).await?;
+        Ok(Call { runtime, patience, stream, feed, buffer: [0; READ] })
+    }
+
+    /// The next list; `silence`: how long nothing may come.
+    async fn next(&mut self, silence: Micros) -> Result<List, Lost> {
+        let mut begun = None;
+        loop {
+            if let Some(list) = self.feed.value()? {
+                return Ok(list);
+            }
+            if self.feed.ended() {
+                return Err(Lost::Ended("a list was whole"));
+            }
+            // One that has begun must come to its end: empty lines go on behind one that was cut off.
+            let now = self.runtime.now();
+            let within = match self.feed.begun() {
+                false => silence,
+                true => (*begun.get_or_insert(now) + self.patience).saturating_sub(now),
+            };
+            let read = self.stream.read(&mut self.buffer);
+            let n = wait(self.runtime, "word of discovery", within, read).await?;
+            if n == 0 {
+                return Err(Lost::Ended("a list was whole"));
+            }
+            self.feed.push(&self.buffer[..n])?;
+        }
+    }
 }
 
 /// Reads lists until something goes wrong; says what.
@@ -89,82 +173,37 @@
     runtime: &Shared,
     roster: &mut Roster,
     address: SocketAddr,
+    waits: Waits,
     driver: &Sender<Input<Work>>,
     taken: &mut bool,
     first: &Sender<()>,
-) -> String {
+) -> Lost {
     let tried = async {
-        let until = runtime.now() + PATIENCE;
-        let mut stream = call(runtime, address, "", until).await?;
-        let whole = whole(runtime, &mut stream, until).await?;
-        drop(stream);
+        let whole = Call::new(runtime, address, "", waits.call).await?.next(waits.call).await?;
         tell(runtime, roster, &whole, driver).await?;
         *taken = true;
         first.close();
         let from = roster.seq();
-        let mut stream =
-            call(runtime, address, &format!("?watch=1&from={from}"), runtime.now() + PATIENCE).await?;
-        let mut feed = Feed::default();
-        let mut buffer = [0; READ];
+        let mut watch = Call::new(runtime, address, &format!("?watch=1&from={from}"), waits.call).await?;
         loop {
-            while let Some(line) = feed.line() {
-                if !line.trim_ascii().is_empty() {
-                    tell(runtime, roster, &line, driver).await?;
-                }
-            }
-            if feed.rest(false).is_some() {
-                return Err("the watch has ended".to_owned());
-            }
-            let n = within(runtime, runtime.now() + SILENCE, stream.read(&mut buffer)).await?;
-            if n == 0 {
-                return Err("the connection is closed".to_owned());
-            }
-            feed.push(&buffer[..n]).map_err(|e| e.to_string())?;
+            let list = watch.next(SILENCE).await?;
+            tell(runtime, roster, &list, driver).await?;
         }
     };
-    let never: Result<std::convert::Infallible, String> = tried.await;
-    never.err().unwrap_or_default()
-}
-
-async fn whole(runtime: &Shared, stream: &mut Box<dyn Stream>, until: Micros) -> Result<Vec<u8>, String> {
-    let (mut feed, mut buffer, mut text) = (Feed::default(), [0; READ], Vec::new());
-    loop {
-        let n = within(runtime, until, stream.read(&mut buffer)).await?;
-        feed.push(&buffer[..n]).map_err(|e| e.to_string())?;
-        while let Some(line) = feed.line() {
-            text.extend_from_slice(&line);
-        }
-        if let Some(rest) = feed.rest(n == 0) {
-            text.extend_from_slice(&rest);
-            return Ok(text);
-        }
-        if n == 0 {
-            return Err("the list was cut off".to_owned());
-        }
+    let never: Result<std::convert::Infallible, Lost> = tried.await;
+    match never {
+        Err(lost) => lost,
     }
 }
 
 async fn tell(
     runtime: &Shared,
     roster: &mut Roster,
-    text: &[u8],
+    list: &List,
     driver: &Sender<Input<Work>>,
-) -> Result<(), String> {
-    let list: List = serde_json::from_slice(text).map_err(|e| format!("list of backends: {e}"))?;
+) -> Result<(), Lost> {
     let (seq, hosts, whole) = (list.seq, list.hosts.len(), list.whole);
-    match roster.take(runtime.now(), &list) {
-        Some((kind, lines)) => {
-            tracing::debug!(seq, hosts, whole, "list of backends");
-            driver.send(Input::Roster { kind, lines }).await.map_err(|_| "stopped".to_owned())
-        }
-        None => {
-            tracing::info!(
-                seq,
-                held = roster.seq(),
-                whole,
-                "a list that is behind the one held is not taken"
-            );
-            Err("the list is behind the one held".to_owned())
-        }
-    }
+    let (kind, lines) = roster.take(runtime.now(), list)?;
+    tracing::debug!(seq, hosts, whole, "list of backends");
+    driver.send(Input::Roster { kind, lines }).await.map_err(|_| Lost::Stopped)
 }
--- a/crates/platform/src/feed.rs
+++ b/crates/platform/src/feed.rs
@@ -1,62 +1,78 @@
-//! The client's half of what HTTP/1.1 discovery needs, free of I/O: one answer, its body given line by line.
+//! The client's half of one call to discovery, free of I/O: the question's bytes, then the JSON values of the answer's body,
+//! one after the other, however they are laid out and cut. HTTP/1.1 is `ureq-proto`'s, JSON is `serde_json`'s.
 
-use bytes::{Bytes, BytesMut};
+use bytes::{Buf, BytesMut};
+use serde::de::DeserializeOwned;
+use std::net::SocketAddr;
+use ureq_proto::client::state::{RecvBody, RecvResponse};
+use ureq_proto::client::{Call, RecvResponseResult, SendRequestResult};
+use ureq_proto::http::{header, Request};
 
-/// Bytes of an answer's head, and of a chunk's.
+/// Bytes of a question, and of an answer's head, chunk line or trailer.
 const MOST_HEAD: usize = 16 << 10;
-const MOST_CHUNK_HEAD: usize = 256;
-/// Bytes of a line: a whole list of some twenty thousand backends.
-const MOST_LINE: usize = 8 << 20;
+/// Bytes of a value: a whole list of some twenty thousand backends.
+const MOST_VALUE: usize = 8 << 20;
+/// Bytes of a value that is read anew whenever more of it comes.
+const SHORT: usize = 64 << 10;
 
 /// Why an answer cannot be followed.
-#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[derive(Debug, thiserror::Error)]
 pub enum FeedError {
-    /// The head is not HTTP/1.1's, or too long.
-    #[error("head: expected a status line and fields of HTTP/1.1 in at most {MOST_HEAD} bytes")]
-    Head,
+    /// It is not HTTP/1.1.
+    #[error("answer: expected HTTP/1.1, found {0}; see that the address is discovery's")]
+    Http(#[from] ureq_proto::Error),
+    /// A head or the like that is too long.
+    #[error("answer: expected a head and chunk lines of at most {MOST_HEAD} bytes")]
+    Long,
     /// Another status.
-    #[error("status: expected 200, found {0}")]
+    #[error("status: expected 200, found {0}; see discovery's log")]
     Status(u16),
-    /// The chunked coding is broken.
-    #[error("body: expected a chunk")]
-    Chunk,
-    /// A line is too long.
-    #[error("body: expected lines of at most {MOST_LINE} bytes")]
-    Line,
+    /// The body holds something else.
+    #[error("body: expected a list of backends, found {0}")]
+    Json(#[from] serde_json::Error),
+    /// A value is too long.
+    #[error("body: expected values of at most {MOST_VALUE} bytes")]
+    Value,
+    /// The question cannot be put.
+    #[error("question: {0}")]
+    Question(#[from] ureq_proto::http::Error),
 }
 
-#[derive(Clone, Copy, PartialEq)]
 enum Part {
-    Head,
-    /// So many bytes to come; none: to the end of the connection.
-    Plain(Option<u64>),
-    ChunkHead,
-    Chunk(u64),
-    /// The line's end behind a chunk.
-    ChunkEnd,
+    Head(Call<RecvResponse>),
+    Body(Call<RecvBody>),
     End,
 }
 
-/// One answer.
+/// One call.
 pub struct Feed {
+    part: Part,
     input: BytesMut,
     body: BytesMut,
-    /// How much of `body` was searched for the end of a line.
-    seen: usize,
-    part: Part,
+    /// How much of `body` was found to be the beginning of a value.
+    tried: usize,
 }
 
-impl Default for Feed {
-    fn default() -> Self {
-        Feed { input: BytesMut::new(), body: BytesMut::new(), seen: 0, part: Part::Head }
+impl Feed {
+    /// A call for a path with its query, and the bytes to write.
+    ///
+    /// # Errors
+    /// [`FeedError::Question`], where the path cannot be one.
+    pub fn ask(address: SocketAddr, path: &str) -> Result<(Feed, Vec<u8>), FeedError> {
+        let question = Request::get(format!("http://{address}{path}"))
+            .header(header::ACCEPT, "application/json")
+            .body(())?;
+        let mut call = Call::new(question)?.proceed();
+        let mut bytes = vec![0; MOST_HEAD];
+        let n = call.write(&mut bytes)?;
+        bytes.truncate(n);
+        let Some(SendRequestResult::RecvResponse(call)) = call.proceed()? else {
+            return Err(ureq_proto::Error::OutputOverflow.into()); // a question without a body is one piece
+        };
+        let feed = Feed { part: Part::Head(call), input: BytesMut::new(), body: BytesMut::new(), tried: 0 };
+        Ok((feed, bytes))
     }
-}
 
-fn find(bytes: &[u8], what: &[u8]) -> Option<usize> {
-    bytes.windows(what.len()).position(|w| w == what)
-}
-
-impl Feed {
     /// Bytes came.
     ///
     /// # Errors
@@ -64,104 +80,83 @@
     pub fn push(&mut self, bytes: &[u8]) -> Result<(), FeedError> {
         self.input.extend_from_slice(bytes);
         while self.step()? {}
-        if self.body.len() > MOST_LINE && !self.body[self.seen..].contains(&b'\n') {
-            return Err(FeedError::Line);
+        if self.input.len() > MOST_HEAD && !self.ended() {
+            return Err(FeedError::Long);
+        }
+        if self.body.len() > MOST_VALUE {
+            return Err(FeedError::Value);
         }
         Ok(())
     }
 
-    /// The next whole line of the body, without its end.
-    pub fn line(&mut self) -> Option<Bytes> {
-        let Some(end) = self.body[self.seen..].iter().position(|b| *b == b'\n') else {
-            self.seen = self.body.len();
-            return None;
+    /// The next whole value of the body; none: it has not come yet.
+    ///
+    /// # Errors
+    /// [`FeedError::Json`], where it is none of this form.
+    pub fn value<T: DeserializeOwned>(&mut self) -> Result<Option<T>, FeedError> {
+        // To read a long value from its beginning at each piece of it would cost the square of its length: then only where
+        // it may be whole, or has grown by an eighth.
+        let grown = self.body.len() - self.tried > self.tried / 8;
+        if !grown && self.body.len() > SHORT && self.body.trim_ascii_end().last() != Some(&b'}') {
+            return Ok(None);
+        }
+        let mut values = serde_json::Deserializer::from_slice(&self.body).into_iter::<T>();
+        let value = match values.next() {
+            Some(Ok(value)) => Some(value),
+            Some(Err(e)) if !e.is_eof() => return Err(e.into()),
+            Some(Err(_)) => {
+                self.tried = self.body.len();
+                return Ok(None);
+            }
+            None => None, // white space: it is alive
         };
-        let line = self.body.split_to(self.seen + end + 1).freeze();
-        self.seen = 0;
-        Some(line.slice(..line.len() - 1))
+        let read = values.byte_offset();
+        self.body.advance(read);
+        self.tried = 0;
+        Ok(value)
     }
 
-    /// The body has ended: what is left of it. Also at the end of the connection, where `closed`.
-    pub fn rest(&mut self, closed: bool) -> Option<Bytes> {
-        let ended = self.part == Part::End || (closed && self.part == Part::Plain(None));
-        ended.then(|| self.body.split().freeze())
+    /// Whether a value has begun to come and is not whole yet.
+    pub fn begun(&self) -> bool {
+        !self.body.is_empty()
+    }
+
+    /// Whether the body has come to its end.
+    pub fn ended(&self) -> bool {
+        matches!(self.part, Part::End)
     }
 
     fn step(&mut self) -> Result<bool, FeedError> {
-        match self.part {
-            Part::Head => {
-                let Some(end) = find(&self.input, b"\r\n\r\n") else {
-                    return if self.input.len() > MOST_HEAD { Err(FeedError::Head) } else { Ok(false) };
-                };
-                let head = self.input.split_to(end + 4);
-                self.part = read_head(&head[..end])?;
-            }
-            Part::Plain(left) => {
-                let n = left.map_or(self.input.len(), |l| self.input.len().min(l as usize));
-                self.body.extend_from_slice(&self.input.split_to(n));
-                let left = left.map(|l| l - n as u64);
-                self.part = if left == Some(0) { Part::End } else { Part::Plain(left) };
-                return Ok(false);
-            }
-            Part::ChunkHead => {
-                let Some(end) = find(&self.input, b"\r\n") else {
-                    let long = self.input.len() > MOST_CHUNK_HEAD;
-                    return if long { Err(FeedError::Chunk) } else { Ok(false) };
-                };
-                let head = self.input.split_to(end + 2);
-                let digits = head[..end].split(|b| *b == b';').next().unwrap_or_default();
-                let size = std::str::from_utf8(digits.trim_ascii()).ok();
-                let size = size.filter(|s| !s.starts_with('+')).and_then(|s| u64::from_str_radix(s, 16).ok());
-                // Trailers may follow the last chunk: nobody reads them.
-                self.part = match size.ok_or(FeedError::Chunk)? {
-                    0 => Part::End,
-                    n => Part::Chunk(n),
+        match std::mem::replace(&mut self.part, Part::End) {
+            Part::Head(mut call) => {
+                let (read, head) = call.try_response(&self.input, false)?;
+                self.input.advance(read);
+                let Some(head) = head else {
+                    self.part = Part::Head(call);
+                    return Ok(read > 0);
                 };
-            }
-            Part::Chunk(left) => {
-                let n = self.input.len().min(usize::try_from(left).unwrap_or(usize::MAX));
-                self.body.extend_from_slice(&self.input.split_to(n));
-                let left = left - n as u64;
-                self.part = if left == 0 { Part::ChunkEnd } else { Part::Chunk(left) };
-                return Ok(left == 0 && !self.input.is_empty());
-            }
-            Part::ChunkEnd => {
-                if self.input.len() < 2 {
-                    return Ok(false);
+                if head.status().as_u16() != 200 {
+                    return Err(FeedError::Status(head.status().as_u16()));
                 }
-                if self.input.split_to(2)[..] != b"\r\n"[..] {
-                    return Err(FeedError::Chunk);
+                if let Some(RecvResponseResult::RecvBody(call)) = call.proceed() {
+                    self.part = Part::Body(call);
                 }
-                self.part = Part::ChunkHead;
+                Ok(true)
             }
-            Part::End => return Ok(false),
-        }
-        Ok(!self.input.is_empty())
-    }
-}
-
-fn read_head(head: &[u8]) -> Result<Part, FeedError> {
-    let head = std::str::from_utf8(head).map_err(|_| FeedError::Head)?;
-    let mut lines = head.split("\r\n");
-    let mut words = lines.next().unwrap_or_default().split(' ');
-    let http = words.next().is_some_and(|w| w.starts_with("HTTP/1."));
-    let status: u16 = words.next().filter(|_| http).and_then(|w| w.parse().ok()).ok_or(FeedError::Head)?;
-    let mut length = None;
-    let mut chunked = false;
-    for line in lines {
-        let (name, value) = line.split_once(':').ok_or(FeedError::Head)?;
-        let value = value.trim();
-        if name.eq_ignore_ascii_case("transfer-encoding") {
-            chunked = value.to_ascii_lowercase().ends_with("chunked");
-        } else if name.eq_ignore_ascii_case("content-length") {
-            length = Some(value.parse().map_err(|_| FeedError::Head)?);
+            Part::Body(mut call) => {
+                let at = self.body.len();
+                self.body.resize(at + self.input.len(), 0);
+                let (read, written) = call.read(&self.input, &mut self.body[at..])?;
+                self.body.truncate(at + written);
+                self.input.advance(read);
+                // One that ends with the connection can always be left: its end is the connection's.
+                let over = call.can_proceed() && call.body_mode() != ureq_proto::BodyMode::CloseDelimited;
+                if !over {
+                    self.part = Part::Body(call);
+                }
+                Ok(read > 0 && !over)
+            }
+            Part::End => Ok(false),
         }
     }
-    match status {
-        100..=199 => Ok(Part::Head), // an interim answer: the real one follows
-        200 if chunked => Ok(Part::ChunkHead),
-        200 if length == Some(0) => Ok(Part::End),
-        200 => Ok(Part::Plain(length)),
-        other => Err(FeedError::Status(other)),
-    }
 }
--- a/crates/platform/src/ingress.rs
+++ b/crates/platform/src/ingress.rs
@@ -167,6 +167,7 @@
             runtime.clone(),
             roster,
             config.discovery,
+            discovery::Waits::within(terms.settings.rules.drain_grace),
             moved,
             driver.clone(),
             first,
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -4,7 +4,8 @@
 //!
 //! - [`config`]: what the platform tells an ingress
 //! - [`list`]: the list of backends, and which of it is taken
-//! - [`feed`]: HTTP/1.1 as discovery speaks it
+//! - [`feed`]: one call to discovery, and the values of its answer
+//! - [`discovery`]: follows it, within stated waits
 //! - [`request`]: a client's command
 //! - [`session`]: a client's connection
 //! - [`answer`]: a backend's answer
@@ -14,7 +15,7 @@
 pub mod answer;
 mod backend;
 pub mod config;
-mod discovery;
+pub mod discovery;
 pub mod feed;
 mod front;
 mod ingress;
--- a/crates/platform/src/list.rs
+++ b/crates/platform/src/list.rs
@@ -76,6 +76,27 @@
     BackendId(u64::from_le_bytes(word))
 }
 
+/// Why a list is not taken; what is held stays.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum NotTaken {
+    /// It would call back what drains or is gone.
+    #[error("list {found} is behind the one held, {held}: the agent answers with what it had before")]
+    Behind {
+        /// Its version.
+        found: u64,
+        /// That of the list that is held.
+        held: u64,
+    },
+    /// No list of this platform.
+    #[error("list {found}: expected at most {MOST} backends, found {hosts}")]
+    Long {
+        /// Its version.
+        found: u64,
+        /// How many it names.
+        hosts: usize,
+    },
+}
+
 /// Takes lists in the order in which they come. Free of I/O and clock.
 pub struct Roster {
     zones: Vec<String>,
@@ -102,25 +123,23 @@
         (RosterKind::Cached, self.lines(list))
     }
 
-    /// A list came. None: it is behind what is held, and would call back what drains or is gone.
-    pub fn take(&mut self, now: Micros, list: &List) -> Option<(RosterKind, Lines)> {
+    /// A list came.
+    ///
+    /// # Errors
+    /// See [`NotTaken`].
+    pub fn take(&mut self, now: Micros, list: &List) -> Result<(RosterKind, Lines), NotTaken> {
         if list.hosts.len() > MOST {
-            tracing::warn!(
-                hosts = list.hosts.len(),
-                most = MOST,
-                "list of backends refused, the last one stays"
-            );
-            return None;
+            return Err(NotTaken::Long { found: list.seq, hosts: list.hosts.len() });
         }
         if list.seq < self.seq {
             let since = *self.behind.get_or_insert(now);
             if !list.whole || now < since + BEHIND {
-                return None;
+                return Err(NotTaken::Behind { found: list.seq, held: self.seq });
             }
         }
         (self.seq, self.behind) = (list.seq, None);
         let kind = if list.whole { RosterKind::Full } else { RosterKind::Delta };
-        Some((kind, self.lines(list)))
+        Ok((kind, self.lines(list)))
     }
 
     fn lines(&self, list: &List) -> Lines {
--- /dev/null
+++ b/crates/platform/tests/discovery.rs
@@ -0,0 +1,306 @@
+//! Following discovery on a world without a system: how long what counts as told takes to reach the driver, by path, beside
+//! the bound; and how often the agent is asked.
+
+use async_channel::{Receiver, Sender};
+use chalkgap::doors::Input;
+use chalkgap_core::Availability;
+use chalkgap_platform::discovery::{follow, Waits};
+use chalkgap_platform::list::Roster;
+use chalkgap_platform::request::Work;
+use chalkgap_runtime::virtual_world::{address, Power, World};
+use chalkgap_runtime::{Micros, Runtime, Shared, Stream};
+use futures_lite::{future, AsyncReadExt, AsyncWriteExt};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard};
+
+const BEGIN: Micros = 1_800_000_000_000_000;
+const GRACE: Micros = 2_000_000;
+/// For connections and bytes in a world whose links take 0.3 ms at most.
+const ROUND: Micros = 5_000;
+/// How often the agent looks whether it has something to say.
+const LOOK: Micros = 10_000;
+
+/// What the agent does.
+#[derive(Clone, Copy, PartialEq)]
+enum Mood {
+    Well,
+    /// It takes connections and says nothing on them, then or later.
+    Down,
+    /// It leaves out each list's last bracket and goes on with empty lines.
+    Half,
+}
+
+struct Agent {
+    seq: u64,
+    mood: Mood,
+    indent: bool,
+    /// Watches of an earlier life stay open and say nothing more.
+    life: u64,
+    /// So many further calls are taken and never answered.
+    deaf: usize,
+    wholes: usize,
+    watches: usize,
+}
+
+#[derive(Clone)]
+struct Handle(Arc<Mutex<Agent>>);
+
+impl Handle {
+    fn at(&self) -> MutexGuard<'_, Agent> {
+        self.0.lock().unwrap()
+    }
+
+    /// A list that names one backend, after the version.
+    fn list(&self, whole: bool) -> String {
+        let a = self.at();
+        let host =
+            serde_json::json!({"host": format!("s-{}", a.seq), "dial": "10.0.0.9:1", "health": "ready"});
+        let list = serde_json::json!({"seq": a.seq, "whole": whole, "hosts": [host]});
+        let text = if a.indent { serde_json::to_string_pretty(&list).unwrap() } else { list.to_string() };
+        let part = text.len() - usize::from(a.mood == Mood::Half);
+        text[..part].to_owned() + "\n"
+    }
+
+    async fn serve(self, runtime: Shared, mut stream: Box<dyn Stream>) {
+        let (mut head, mut byte) = (Vec::new(), [0]);
+        while !head.ends_with(b"\r\n\r\n") && stream.read(&mut byte).await.is_ok_and(|n| n > 0) {
+            head.push(byte[0]);
+        }
+        let watch = String::from_utf8_lossy(&head).contains("watch=1");
+        let (life, mut seq) = {
+            let mut a = self.at();
+            let mute = a.mood == Mood::Down || a.deaf > 0;
+            a.deaf = a.deaf.saturating_sub(1);
+            *if watch { &mut a.watches } else { &mut a.wholes } += 1;
+            (if mute { u64::MAX } else { a.life }, a.seq)
+        };
+        if life == u64::MAX {
+            return future::pending().await;
+        }
+        if !watch {
+            let text = self.list(true);
+            let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", text.len());
+            let _ = stream.write_all((head + &text).as_bytes()).await;
+            return;
+        }
+        let _ = stream.write_all(b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n").await;
+        let mut said = runtime.now();
+        loop {
+            runtime.sleep_until(runtime.now() + LOOK).await;
+            if self.at().life != life {
+                return future::pending().await;
+            }
+            let news = self.at().seq != seq;
+            let text = match news {
+                true => self.list(false),
+                false if runtime.now() < said + 2_000_000 => continue,
+                false => "\n".to_owned(),
+            };
+            (said, seq) = (runtime.now(), self.at().seq);
+            if stream.write_all(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes()).await.is_err() {
+                return;
+            }
+        }
+    }
+}
+
+/// A world with agents and one who follows them.
+struct Rig {
+    runtime: Shared,
+    world: World,
+    agents: Vec<(Handle, SocketAddr)>,
+    moves: Sender<SocketAddr>,
+    input: Receiver<Input<Work>>,
+    _power: Vec<Power>,
+}
+
+impl Rig {
+    fn new(world: &World, indent: bool) -> Rig {
+        let (mut agents, mut powers) = (Vec::new(), Vec::new());
+        for no in 1..=2 {
+            let (host, power) = world.host(no, 0);
+            let agent = Agent { seq: 1, mood: Mood::Well, indent, life: 0, deaf: 0, wholes: 0, watches: 0 };
+            let handle = Handle(Arc::new(Mutex::new(agent)));
+            let at = SocketAddr::new(address(no), 8500);
+            let (listener, runtime, served) = (host.listen(at).unwrap(), host as Shared, handle.clone());
+            let to = runtime.clone();
+            let serve = async move {
+                while let Ok(stream) = listener.accept().await {
+                    to.spawn(Box::pin(served.clone().serve(to.clone(), stream))).detach();
+                }
+            };
+            runtime.spawn(Box::pin(serve)).detach();
+            agents.push((handle, at));
+            powers.push(power);
+        }
+        let (host, power) = world.host(3, 0);
+        powers.push(power);
+        let runtime: Shared = host;
+        let (moves, moved) = async_channel::bounded(4);
+        let (driver, input) = async_channel::bounded(64);
+        let (first, _) = async_channel::bounded(1);
+        let roster = Roster::new(Vec::new(), Vec::new());
+        let waits = Waits::within(GRACE);
+        let task = follow(runtime.clone(), roster, agents[0].1, waits, moved, driver, first);
+        runtime.spawn(Box::pin(task)).detach();
+        Rig { runtime, world: world.clone(), agents, moves, input, _power: powers }
+    }
+
+    fn agent(&self) -> MutexGuard<'_, Agent> {
+        self.agents[0].0.at()
+    }
+
+    async fn rest(&self, span: Micros) {
+        self.runtime.sleep_until(self.runtime.now() + span).await;
+    }
+
+    /// Silence on all that is open; changes come, and `mood` goes for later calls.
+    fn silence(&self, mood: Mood) {
+        let mut a = self.agent();
+        (a.life, a.mood) = (a.life + 1, mood);
+    }
+
+    /// Until the driver is told of this version.
+    async fn told(&self, version: u64) -> Micros {
+        let begin = self.runtime.now();
+        let want = chalkgap_platform::list::backend(&format!("s-{version}"));
+        let told = async {
+            while let Ok(input) = self.input.recv().await {
+                let Input::Roster { lines, .. } = input else { continue };
+                if lines.iter().any(|l| l.0.backend == want && l.0.availability == Availability::Ready) {
+                    return self.runtime.now() - begin;
+                }
+            }
+            panic!("the follower has ended");
+        };
+        let never = async {
+            self.rest(60_000_000).await;
+            panic!("version {version} was never told");
+        };
+        future::or(told, never).await
+    }
+}
+
+fn play<F: std::future::Future<Output = ()> + 'static>(
+    seed: u64,
+    indent: bool,
+    act: impl FnOnce(Rig) -> F + 'static,
+) {
+    let world = World::new(seed, BEGIN);
+    let inside = world.clone();
+    let done = world.run(async move {
+        let rig = Rig::new(&inside, indent);
+        rig.told(1).await;
+        rig.rest(1_000_000).await;
+        act(rig).await;
+    });
+    assert!(done.is_some(), "it came to its end");
+}
+
+/// Against an agent that indents its lists one ingress asked for the whole list 161 times in six seconds, and no change
+/// ever came by the watch.
+#[test]
+fn indented_changes_come_by_the_watch() {
+    for indent in [false, true] {
+        play(1, indent, |rig| async move {
+            for version in 2..10 {
+                rig.agent().seq = version;
+                let took = rig.told(version).await;
+                assert!(took <= LOOK + ROUND, "{took} us");
+                rig.rest(700_000).await;
+            }
+            let agent = rig.agent();
+            assert_eq!((agent.wholes, agent.watches), (1, 1));
+        });
+    }
+}
+
+/// The one clock: what a silent watch misses counts as told 6 s after it fell silent, and a call that falls silent as well
+/// leaves that standing.
+#[test]
+fn a_silent_watch_costs_less_than_six_seconds() {
+    let mut worst = 0;
+    for seed in 0..40 {
+        let deaf = seed as usize % 2;
+        let seen = Arc::new(Mutex::new(0));
+        let out = seen.clone();
+        play(seed, seed % 3 == 0, move |rig| async move {
+            rig.rest(seed * 53_000).await;
+            rig.silence(Mood::Well);
+            rig.agent().deaf = deaf;
+            rig.agent().seq = 2;
+            *out.lock().unwrap() = rig.told(2).await;
+        });
+        worst = worst.max(*seen.lock().unwrap());
+    }
+    let bound = 4_500_000 + 1_000_000 + 150_000 + ROUND;
+    assert!(worst <= bound && bound < 6_000_000, "{worst} us, bound {bound}");
+    assert!(worst > bound * 8 / 10, "a search that reaches the bound: {worst} us of {bound}");
+}
+
+/// Calls made in an outage are never answered, and when it ends what the agent has counts at once: work sent to a backend
+/// that drains must have ended two seconds later. With a pause of up to a second and a call of one it took up to 2.0 s.
+#[test]
+fn after_an_outage_the_list_is_there_well_within_the_grace_of_drains() {
+    let mut worst = 0;
+    for seed in 0..60 {
+        let seen = Arc::new(Mutex::new(0));
+        let out = seen.clone();
+        play(seed, false, move |rig| async move {
+            rig.silence(Mood::Down);
+            rig.rest(8_000_000 + seed * 37_000).await;
+            rig.agent().seq = 2;
+            rig.agent().mood = Mood::Well;
+            *out.lock().unwrap() = rig.told(2).await;
+            // Calls in all: each takes a second, and half a pause at least.
+            assert!(rig.agent().wholes < 14, "{} calls", rig.agent().wholes);
+        });
+        worst = worst.max(*seen.lock().unwrap());
+    }
+    let bound = Waits::within(GRACE).call + Waits::within(GRACE).pause + ROUND;
+    assert!(worst <= bound && bound < GRACE * 2 / 3, "{worst} us, bound {bound}");
+    assert!(worst > bound / 2, "a search that reaches half of the bound: {worst} us of {bound}");
+}
+
+/// A new configuration is followed at once, whatever the old address does.
+#[test]
+fn a_new_address_is_asked_at_once() {
+    for mood in [Mood::Well, Mood::Down] {
+        play(3, false, move |rig| async move {
+            rig.silence(mood);
+            rig.rest(6_300_000).await;
+            rig.agents[1].0.at().seq = 5;
+            rig.moves.send(rig.agents[1].1).await.unwrap();
+            let took = rig.told(5).await;
+            assert!(took <= ROUND, "{took} us");
+        });
+    }
+}
+
+/// A list that begins and does not end: empty lines behind it are no sign of life, and the half is never taken.
+#[test]
+fn half_a_list_is_given_up_after_a_call_s_time() {
+    play(4, true, |rig| async move {
+        rig.agent().mood = Mood::Half;
+        rig.agent().seq = 2;
+        rig.rest(400_000).await;
+        rig.agent().mood = Mood::Well;
+        let took = rig.told(2).await;
+        assert!(took <= Waits::within(GRACE).call + 50_000 + ROUND, "{took} us");
+        assert_eq!(rig.agent().wholes, 2, "by a new list, not by the watch");
+    });
+}
+
+/// A watch that is reset is opened again after the least pause.
+#[test]
+fn a_reset_watch_is_opened_again_at_once() {
+    play(5, false, |rig| async move {
+        let cut = Some(chalkgap_runtime::weather::Cut::Reset);
+        let weather = chalkgap_runtime::virtual_world::USUAL;
+        rig.world.link(1, 3, Some(chalkgap_runtime::weather::Weather { cut, ..weather }));
+        rig.world.link(1, 3, None);
+        rig.agent().seq = 2;
+        let took = rig.told(2).await;
+        assert!(took <= 50_000 + ROUND, "{took} us");
+    });
+}
--- a/crates/platform/tests/machines.rs
+++ b/crates/platform/tests/machines.rs
@@ -273,6 +273,10 @@
 }
 
 fn list(seq: u64, whole: bool, hosts: &[(&str, &str)]) -> List {
+    serde_json::from_str(&list_text(seq, whole, hosts)).unwrap()
+}
+
+fn list_text(seq: u64, whole: bool, hosts: &[(&str, &str)]) -> String {
     let host = |(n, (host, health)): (usize, &(&str, &str))| {
         format!(
             r#"{{"host":"{host}","dial":"127.0.0.1:{}","site":"b","class":"k","block":3,"health":"{health}",
@@ -281,8 +285,7 @@
         )
     };
     let hosts: Vec<String> = hosts.iter().enumerate().map(host).collect();
-    serde_json::from_str(&format!(r#"{{"seq":{seq},"whole":{whole},"hosts":[{}]}}"#, hosts.join(",")))
-        .unwrap()
+    format!(r#"{{"seq":{seq},"whole":{whole},"hosts":[{}]}}"#, hosts.join(","))
 }
 
 #[test]
@@ -295,43 +298,74 @@
     assert_eq!((l.size, l.started), (2.5, 7000));
     assert_eq!(roster.take(1, &list(42, false, &[("s-1", "gone")])).unwrap().0, RosterKind::Delta);
     // An agent that is behind would bring back what drains.
-    assert!(roster.take(2, &list(40, true, &[("s-1", "ready"), ("s-2", "ready")])).is_none());
-    assert!(roster.take(3, &list(41, false, &[("s-2", "ready")])).is_none());
+    assert!(roster.take(2, &list(40, true, &[("s-1", "ready"), ("s-2", "ready")])).is_err());
+    assert!(roster.take(3, &list(41, false, &[("s-2", "ready")])).is_err());
     assert_eq!(roster.seq(), 42);
-    assert!(roster.take(2_000_000, &list(40, true, &[])).is_none());
+    assert!(roster.take(2_000_000, &list(40, true, &[])).is_err());
     // All that comes for seconds: discovery counts anew.
-    assert!(roster.take(3_000_002, &list(2, true, &[("s-3", "ready")])).is_some());
+    assert!(roster.take(3_000_002, &list(2, true, &[("s-3", "ready")])).is_ok());
     assert_eq!(roster.seq(), 2);
 }
 
-fn feed(bytes: &[u8], cut: usize) -> Result<Vec<String>, FeedError> {
-    let mut feed = Feed::default();
-    let mut lines = Vec::new();
-    let text = |b: Bytes| String::from_utf8_lossy(&b).into_owned();
+/// The values that an answer in pieces of `cut` bytes gives, and whether it has ended.
+fn feed(bytes: &[u8], cut: usize) -> Result<(Vec<serde_json::Value>, bool), FeedError> {
+    let (mut feed, question) = Feed::ask(at(1), "/api/targets?watch=1&from=7").unwrap();
+    assert!(question.starts_with(b"GET /api/targets?watch=1&from=7 HTTP/1.1\r\nhost: 127.0.0.1:1\r\n"));
+    let mut values = Vec::new();
     for piece in bytes.chunks(cut) {
         feed.push(piece)?;
-        lines.extend(std::iter::from_fn(|| feed.line()).map(text));
+        while let Some(value) = feed.value()? {
+            values.push(value);
+        }
     }
-    lines.extend(feed.rest(true).filter(|r| !r.is_empty()).map(text));
-    Ok(lines)
+    Ok((values, feed.ended()))
+}
+
+fn chunked(pieces: &[&str]) -> Vec<u8> {
+    let mut bytes = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n".to_vec();
+    pieces.iter().for_each(|p| bytes.extend_from_slice(format!("{:x}\r\n{p}\r\n", p.len()).as_bytes()));
+    bytes
 }
 
+/// The platform may indent its lists: what was taken line by line then was no list, and each ingress asked for the whole one
+/// twenty times a second.
 #[test]
-fn discovery_is_read_in_any_pieces() {
-    let chunked = b"HTTP/1.1 103 Early\r\nA: b\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n\
-        4\r\none\n\r\n6;x=1\r\ntwo\nth\r\n4\r\nree\n\r\n0\r\n\r\n";
-    let plain = b"HTTP/1.1 200 OK\r\ncontent-length: 8\r\n\r\none\ntwo\nmore";
-    let close = b"HTTP/1.1 200 OK\r\n\r\none\ntwo";
-    for cut in 1..80 {
-        assert_eq!(feed(chunked, cut).unwrap(), ["one", "two", "three"]);
-        assert_eq!(feed(plain, cut).unwrap(), ["one", "two"]);
-        assert_eq!(feed(close, cut).unwrap(), ["one", "two"]);
+fn discovery_is_read_in_any_pieces_and_layout() {
+    let interim = b"HTTP/1.1 103 Early\r\nA: b\r\n\r\n";
+    let one =
+        [&interim[..], &chunked(&["{\"a\"", ":1}\n", "\n", " {\n  \"a\":\n [2]\n}", "{\"a\":{}}"])].concat();
+    let plain = b"HTTP/1.1 200 OK\r\ncontent-length: 16\r\n\r\n{\"a\":1}\n{\"a\":2}{\"a\":3}";
+    let close = b"HTTP/1.1 200 OK\r\n\r\n{\"a\":1}";
+    let value = |text: &str| serde_json::from_str::<serde_json::Value>(text).unwrap();
+    let all = [value("{\"a\":1}"), value("{\"a\":[2]}"), value("{\"a\":{}}")];
+    for cut in 1..120 {
+        assert_eq!(feed(&one, cut).unwrap(), (all.to_vec(), false), "{cut}");
+        assert_eq!(feed(&[&one[..], b"0\r\n\r\n"].concat(), cut).unwrap(), (all.to_vec(), true));
+        assert_eq!(feed(plain, cut).unwrap().0.len(), 2, "no more than its length");
+        assert_eq!(feed(close, cut).unwrap(), (all[..1].to_vec(), false));
     }
-    assert_eq!(feed(b"HTTP/1.1 503 No\r\n\r\n", 9), Err(FeedError::Status(503)));
-    assert_eq!(feed(b"nonsense\r\n\r\n", 9), Err(FeedError::Head));
-    assert_eq!(feed(&[b'x'; 20_000], 999), Err(FeedError::Head));
+    assert!(matches!(feed(b"HTTP/1.1 503 No\r\n\r\n", 9), Err(FeedError::Status(503))));
+    assert!(matches!(feed(b"HTTP/1.1 301 No\r\nlocation: /\r\n\r\n", 9), Err(FeedError::Status(301))));
+    assert!(matches!(feed(b"nonsense\r\n\r\n", 9), Err(FeedError::Http(_))));
+    let endless = [&b"HTTP/1.1 200 OK\r\na: "[..], &[b'x'; 40_000]].concat();
+    assert!(matches!(feed(&endless, 999), Err(FeedError::Long)));
     let broken = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\nzz\r\n";
-    assert_eq!(feed(broken, 7), Err(FeedError::Chunk));
+    assert!(matches!(feed(broken, 7), Err(FeedError::Http(_))));
+    assert!(matches!(feed(&chunked(&["noise\n"]), 7), Err(FeedError::Json(_))));
+    assert!(matches!(feed(&chunked(&["{\"a\":1]"]), 7), Err(FeedError::Json(_))));
+}
+
+/// A whole list in thousands of pieces is read some dozen times at most, and has a limit.
+#[test]
+fn long_lists_in_small_pieces() {
+    let hosts: Vec<String> = (0..5000).map(|n| format!("s-{n}")).collect();
+    let hosts: Vec<(&str, &str)> = hosts.iter().map(|h| (h.as_str(), "ready")).collect();
+    let long = list_text(9, true, &hosts);
+    let (values, _) = feed(&chunked(&[&long, "\n", &list_text(10, false, &[])]), 100).unwrap();
+    let seqs: Vec<_> = values.iter().map(|v| v["seq"].as_u64().unwrap()).collect();
+    assert_eq!((seqs, values[0]["hosts"].as_array().unwrap().len()), (vec![9, 10], 5000));
+    let endless = format!("{{\"a\":\"{}", "x".repeat(9 << 20));
+    assert!(matches!(feed(&chunked(&[&endless]), 1 << 16), Err(FeedError::Value)));
 }
 
 #[test]
@@ -356,7 +390,7 @@
     #[test]
     fn no_bytes_panic(bytes in proptest::collection::vec(any::<u8>(), 0..300), cut in 1usize..40) {
         let _ = feed(&bytes, cut);
-        let _ = feed(&[&b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"[..], &bytes].concat(), cut);
+        let _ = feed(&[&chunked(&["{\"a\":"])[..], &bytes].concat(), cut);
         let _ = answer(&[&b"*3\r\n$1\r\nv\r\n$-1\r\n"[..], &bytes].concat());
         let mut session = Session::new(Arc::new(grammar()));
         bytes.chunks(cut).for_each(|piece| drop(hear(&mut session, piece)));
