Module: the bound on what is out begins at five a backend, a small fleet begins with full stores

Seen: in a copy that logs each attempt's time with its load report and each refusal with its reason: the pressure is real. Both cores of the nine backends are busy from second 6 on, 6 to 10 requests in work at each in seconds 10 to 14; they end 3.05 requests a second for each busy core, where at 0.65 of the cores they ended 4.2. PLACES (10 a backend) lay above that, and feel lets a bound that was cut go back to it at any pressure short of an alert. Beside it 633 of 677 refusals of the first ten seconds were for stores believed under a quarter: settle_in gave each gateway of a small fleet its share of the burst only (!few).

--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -18,7 +18,7 @@
 const AIM_SHARE: f64 = 0.6;
 const ALERT_ON: f64 = 1.0; // pressure that raises an alert
 const ALERT_OFF: f64 = 0.75; // and that ends it: between them nothing moves
-const PLACES: f64 = 10.0; // attempts out at a backend, by all gateways, to begin with; then found by latency
+const PLACES: f64 = 5.0; // attempts out at a backend, by all gateways, to begin with; then found by latency
 const GROW: f64 = 0.4; // pressure under which the bound on what is out may grow
 const AWAY: f64 = 0.05; // share turned away for want of a place that alerts while pressure is not low
 const PRESSURE_TAU: f64 = 1.0; // memory of the pressure in seconds: some dozen answers
@@ -302,7 +302,7 @@
         c.homes.dedup();
         c.home = c.homes.contains(&me);
         // No peer is older than this start: the fleet began with it, the store is full, less what all tell.
-        if c.home && !few && !self.elders {
+        if c.home && !self.elders {
             c.level = plan.burst;
         }
         // Half of the ceiling lies with two, who hand it out; each has some for when they are not heard.
