Coldstart: what counts as confirmed is asked in one place

Need: read again; the same filter on the confirmed list stood four times (held, word, came, look). Change: one method, sure. Behaviour as it was: the crate's six tests and clippy pass.

--- a/crates/coldstart/src/lists.rs
+++ b/crates/coldstart/src/lists.rs
@@ -145,13 +145,17 @@
     /// The list to serve by. One that a single neighbour vouches for serves where there is no better one: whoever holds a
     /// confirmed list waits for a second voice, or the service's.
     pub fn held(&self) -> Option<&Held> {
-        let sure = self.confirmed.as_ref().filter(|h| h.confirmed);
-        sure.or(self.tried.as_ref()).or(self.confirmed.as_ref())
+        self.sure().or(self.tried.as_ref()).or(self.confirmed.as_ref())
+    }
+
+    /// The confirmed one; not what was kept and nobody has confirmed.
+    fn sure(&self) -> Option<&Held> {
+        self.confirmed.as_ref().filter(|h| h.confirmed)
     }
 
     /// What to tell neighbours: never of a list that this one was only given by one of them, or nobody's word would become two.
     pub fn word(&self) -> Option<Word> {
-        self.confirmed.as_ref().filter(|h| h.confirmed).map(|h| h.word)
+        self.sure().map(|h| h.word)
     }
 
     /// A neighbour told of its list.
@@ -198,7 +202,7 @@
                 return Err(Refused::Forged { by });
             }
         }
-        let sure = self.confirmed.as_ref().filter(|h| h.confirmed).map(|h| h.word.version);
+        let sure = self.sure().map(|h| h.word.version);
         if let Some(held) = sure.filter(|held| *held > version) {
             return Err(Refused::Older { found: version, held });
         }
@@ -274,7 +278,7 @@
             return;
         }
         // What two hold is measured by the confirmed list alone: one that a single neighbour gave does not keep it out.
-        let sure = self.confirmed.as_ref().filter(|h| h.confirmed).map(|h| h.word.version);
+        let sure = self.sure().map(|h| h.word.version);
         let tried = self.tried.as_ref().map(|h| h.word.version).max(sure);
         let fits = |by: &Number, w: &Word| match self.vouch(*w) {
             0 | 1 => tried.is_none_or(|v| w.version > v) && !self.alone.contains(by),
