Attempts: what has not begun does not begin for who left, who drains, or past the window

Lines at fault: Driver::answer and Driver::roster told only what had been answered to the module, and Links::stop was reached only by the module's Cancel, which the settings may forbid; Link::carry in backend.rs looked at the deadline alone before it wrote.

Change: Upstream::withdraw takes back a call of which nothing was written; the driver calls it with every final answer and for backends that are named as draining or gone. Action::Send carries begin_by, worked out by the module from the first attempt that may have run; both ways out look at it where the bytes are written.

And a second answer some milliseconds behind the first was taken for the next request's (test: wrong value at the second request): connections rest 20 ms after an answer, not 2.

--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -545,6 +545,11 @@
             self.retries = (self.retries + RETRY_SHARE).min((RETRY_STORE / self.shares as f64).max(1.0));
         }
         self.customers.entry(o.req.customer).and_modify(|c| c.open += 1);
+        // Backends remember a key for as long as this; a connection may come up long after the choice.
+        let begin_by = match (self.s.classes[usize::from(o.req.class)].repeat, o.may_have_run()) {
+            (Repeat::Keyed { window, .. }, Some(a)) => (a.sent + window).saturating_sub(self.s.tick),
+            _ => 0,
+        };
         let patience = o.patience(self.s.classes[usize::from(o.req.class)].aim);
         self.checks.push(Reverse((now + (patience * SILENCE) as Micros, id)));
         self.out += 1;
@@ -557,7 +562,7 @@
             }
             b.cold_sends.push_back(now);
         }
-        act.push(Action::Send { id, backend: bid, expires: 0 });
+        act.push(Action::Send { id, backend: bid, expires: 0, begin_by });
         true
     }
 
--- a/crates/core/src/interface.rs
+++ b/crates/core/src/interface.rs
@@ -372,7 +372,8 @@
 /// What a gateway asks its host to do, in this order.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
-    /// Send the request to a backend; `expires` 0 means at the client's deadline.
+    /// Send the request to a backend; `expires` 0 means at the client's deadline. Nothing of it may leave after
+    /// `begin_by`, however long a connection takes; 0 means at any time. One that did not begin is moot.
     Send {
         /// The request.
         id: RequestId,
@@ -380,6 +381,8 @@
         backend: BackendId,
         /// When to give the attempt up.
         expires: Micros,
+        /// When it must have begun.
+        begin_by: Micros,
     },
     /// Final answer: refused, trying again is harmless; `pause` 0 gives no advice.
     Refuse {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -32,7 +32,7 @@
 //! let id = RequestId(1);
 //! let request = Request { id, deadline: start + 2_000_000, units: 1.0, width: 1.0, ..Request::default() };
 //! gateway.handle(start + 4_000, Event::Request(request), &mut actions);
-//! assert_eq!(actions, [Action::Send { id, backend, expires: 0 }]);
+//! assert_eq!(actions, [Action::Send { id, backend, expires: 0, begin_by: 0 }]);
 //!
 //! actions.clear();
 //! let answer = Event::Settled {
--- a/crates/gateway/src/driver.rs
+++ b/crates/gateway/src/driver.rs
@@ -341,6 +341,18 @@
         }
         let listed = &self.listed;
         self.links.retain(&|id| listed.contains_key(&id));
+        // An attempt that was decided before this and waits for its connection would come to one that drains, after its grace
+        // as well.
+        let closed: BTreeSet<BackendId> =
+            lines.iter().filter(|l| l.0.availability != Availability::Ready).map(|l| l.0.backend).collect();
+        let gone = |id: &BackendId| closed.contains(id) || !listed.contains_key(id);
+        for (id, held) in &self.held {
+            for (n, out) in
+                (0..).zip(&held.attempts).filter(|(_, o)| !o.ended && !o.waiting && gone(&o.backend))
+            {
+                self.links.withdraw(out.link, *id, n);
+            }
+        }
         self.handle(Event::Roster(kind, lines.into_iter().map(|l| l.0).collect()));
     }
 
@@ -363,7 +375,7 @@
 
     fn act(&mut self, action: Action) {
         match action {
-            Action::Send { id, backend, expires } => self.send(id, backend, expires),
+            Action::Send { id, backend, expires, begin_by } => self.send(id, backend, expires, begin_by),
             Action::Refuse { id, pause } => {
                 add(&self.telemetry.refused);
                 self.answer(id, Answer::Refused { pause });
@@ -407,14 +419,15 @@
         }
     }
 
-    fn send(&mut self, id: RequestId, backend: BackendId, expires: Micros) {
+    fn send(&mut self, id: RequestId, backend: BackendId, expires: Micros, begin_by: Micros) {
         let now = self.runtime.now();
         let address = self.listed.get(&backend).copied();
         let Some(held) = self.held.get_mut(&id) else { return };
         let attempt = held.attempts.len() as u16;
         let until = if expires == 0 { held.ask.deadline } else { expires.min(held.ask.deadline) };
         let (class, work) = (held.ask.class, held.ask.work.clone());
-        let call = Call { id, attempt, class, work, entered: None, until };
+        let begin_by = (begin_by > 0).then_some(begin_by);
+        let call = Call { id, attempt, class, work, entered: None, until, begin_by };
         add(&self.telemetry.attempts);
         held.attempts.push(Out {
             backend,
@@ -540,6 +553,11 @@
             // Guards rule 1 against a fault of the module: the first answer stands.
             return tracing::error!(id = id.0, ?answer, "second final answer dropped");
         }
+        // What has not begun does not begin for a client that has its answer or has left, whether or not the settings let an
+        // attempt be called off that has.
+        for (n, out) in (0..).zip(&held.attempts).filter(|(_, o)| !o.ended && !o.waiting) {
+            self.links.withdraw(out.link, id, n);
+        }
         let ask = &held.ask;
         // The front bounds its asks by the room of this channel; if it is closed, the client is gone.
         let _ = ask.reply.try_send(Reply { token: ask.token, id, answer });
--- a/crates/gateway/src/messages.rs
+++ b/crates/gateway/src/messages.rs
@@ -164,6 +164,8 @@
     pub entered: Option<Micros>,
     /// When the attempt is given up.
     pub until: Micros,
+    /// Nothing of it may be written any more after this.
+    pub begin_by: Option<Micros>,
 }
 
 /// A way out: connections to nodes in some protocol. What is started ends with [`Input::Ended`], and the driver ends it
@@ -175,6 +177,9 @@
     fn start(&mut self, backend: BackendId, address: SocketAddr, call: Call<Self::Work>) -> Option<u64>;
     /// An attempt is called off, or its time is up.
     fn stop(&mut self, link: u64, id: RequestId, attempt: u16);
+    /// Nobody waits for a call any more, or its backend may get nothing new: if nothing of it was written, nothing is, and
+    /// it ends as moot. One that has begun goes on.
+    fn withdraw(&mut self, link: u64, id: RequestId, attempt: u16);
     /// A call of this connection has ended.
     fn ended(&mut self, link: u64);
     /// The connection has ended, or will with the attempt that is out on it; `broke`: as soon as it was written to.
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -29,6 +29,11 @@
         id: RequestId,
         attempt: u16,
     },
+    /// Called off if it is not yet written.
+    Withdraw {
+        id: RequestId,
+        attempt: u16,
+    },
     /// To be closed as soon as it is idle.
     Close,
 }
@@ -129,6 +134,10 @@
         self.command(link, Command::Stop { id, attempt });
     }
 
+    fn withdraw(&mut self, link: u64, id: RequestId, attempt: u16) {
+        self.command(link, Command::Withdraw { id, attempt });
+    }
+
     fn ended(&mut self, link: u64) {
         let Some(l) = self.links.get_mut(&link) else { return };
         l.out = l.out.saturating_sub(1);
@@ -297,14 +306,14 @@
     fn command(&mut self, command: Command, pipe: &mut Pipe<Command>) {
         match command {
             Command::Start(call) => self.waiting.push_back(call),
+            Command::Withdraw { id, attempt } => {
+                self.withdraw(id, attempt);
+            }
             Command::Stop { id, attempt } => {
-                let this = |c: &Call| c.id == id && c.attempt == attempt;
-                if let Some(at) = self.waiting.iter().position(|c| this(c)) {
-                    if let Some(call) = self.waiting.remove(at) {
-                        self.ended.push(ended(&call, Outcome::Moot));
-                    }
+                if self.withdraw(id, attempt) {
                     return;
                 }
+                let this = |c: &Call| c.id == id && c.attempt == attempt;
                 // Few are open on one connection; the list is bounded by the settings.
                 let found = self.open.iter().find(|(_, o)| this(&o.call)).map(|(s, _)| *s);
                 if let Some((stream, o)) = found.and_then(|s| self.open.remove_entry(&s)) {
@@ -317,12 +326,21 @@
         }
     }
 
+    /// Takes back a call that is not yet written; false if it is.
+    fn withdraw(&mut self, id: RequestId, attempt: u16) -> bool {
+        let at = self.waiting.iter().position(|c| c.id == id && c.attempt == attempt);
+        let Some(call) = at.and_then(|at| self.waiting.remove(at)) else { return false };
+        self.ended.push(ended(&call, Outcome::Moot));
+        true
+    }
+
     /// Opens streams for what waits.
     fn flush(&mut self, pipe: &mut Pipe<Command>) {
         while pipe.conn.greeted() && pipe.conn.can_open().is_ok() {
             let Some(call) = self.waiting.pop_front() else { return };
-            let left = call.until.saturating_sub(self.world.runtime.now());
-            if left == 0 {
+            let now = self.world.runtime.now();
+            let left = call.until.saturating_sub(now);
+            if left == 0 || call.begin_by.is_some_and(|by| now > by) {
                 self.ended.push(ended(&call, Outcome::Moot));
                 continue;
             }
--- a/crates/platform/src/backend.rs
+++ b/crates/platform/src/backend.rs
@@ -20,12 +20,20 @@
 const READ: usize = 16 << 10;
 /// A reset that comes so soon after a request says something of the connection and little of the backend.
 const AT_ONCE: Micros = 5000;
-/// A start, a stop, and one more of each that crossed the end of a request.
-const ROOM: usize = 4;
+/// A start, two withdrawals and a stop, and one more of each that crossed the end of a request.
+const ROOM: usize = 8;
 
 enum Command {
     Start(Box<Call<Work>>),
-    Stop { id: RequestId, attempt: u16 },
+    Stop {
+        id: RequestId,
+        attempt: u16,
+    },
+    /// Only if nothing of it has been written.
+    Withdraw {
+        id: RequestId,
+        attempt: u16,
+    },
 }
 
 /// What every connection's task needs.
@@ -106,6 +114,12 @@
         }
     }
 
+    fn withdraw(&mut self, link: u64, id: RequestId, attempt: u16) {
+        if let Some(commands) = self.commands.get(&link) {
+            let _ = commands.try_send(Command::Withdraw { id, attempt }); // full: it was told already
+        }
+    }
+
     fn ended(&mut self, link: u64) {
         if !self.pool.free(self.world.runtime.now(), link) {
             self.commands.remove(&link);
@@ -138,6 +152,11 @@
     written: bool,
 }
 
+/// Whether the time to begin is over.
+fn late(call: &Call<Work>, now: Micros) -> bool {
+    call.begin_by.is_some_and(|by| now > by)
+}
+
 fn without(outcome: Outcome) -> Answered {
     Answered { outcome, value: Bytes::new(), report: None, usable: false }
 }
@@ -198,7 +217,7 @@
             });
             match next.await {
                 Some(Some(Command::Start(call))) => return Some(call),
-                Some(Some(Command::Stop { .. })) => {} // its request has ended already
+                Some(Some(Command::Stop { .. } | Command::Withdraw { .. })) => {} // its request has ended already
                 Some(None) => return None,
                 None => {
                     self.stream = None;
@@ -226,8 +245,8 @@
             }
         }
         let left = call.until.saturating_sub(runtime.now());
-        if left == 0 {
-            return without(Outcome::Moot);
+        if left == 0 || late(call, runtime.now()) {
+            return Answered { usable: true, ..without(Outcome::Moot) }; // nothing was written: it serves the next one
         }
         let mut out = BytesMut::with_capacity(256);
         call.work.put(&mut out, left.div_ceil(1000));
@@ -245,7 +264,8 @@
     async fn stopped<T>(&mut self, call: &Call<Work>) -> Option<T> {
         loop {
             match future::poll_fn(|cx| self.commands.as_mut().poll_next(cx)).await {
-                Some(Command::Stop { id, attempt }) if (id, attempt) != (call.id, call.attempt) => {}
+                Some(Command::Stop { id, attempt } | Command::Withdraw { id, attempt })
+                    if (id, attempt) != (call.id, call.attempt) => {}
                 _ => return None,
             }
         }
@@ -256,7 +276,8 @@
         let Some(stream) = &mut self.stream else {
             return Exchange { answered: without(Outcome::ConnectFailed), written: false };
         };
-        let commands = &mut self.commands;
+        let (commands, alarm, runtime, whole) =
+            (&mut self.commands, &mut self.alarm, &world.runtime, out.len());
         let answered = future::poll_fn(|cx| {
             loop {
                 match commands.as_mut().poll_next(cx) {
@@ -265,10 +286,19 @@
                             return Poll::Ready(without(Outcome::Cancelled));
                         }
                     }
+                    Poll::Ready(Some(Command::Withdraw { id, attempt })) => {
+                        if (id, attempt) == (call.id, call.attempt) && out.len() == whole {
+                            return Poll::Ready(without(Outcome::Cancelled));
+                        }
+                    }
                     Poll::Ready(_) => return Poll::Ready(without(Outcome::Cancelled)),
                     Poll::Pending => break,
                 }
             }
+            // A backend begins with the last byte.
+            if !out.is_empty() && (late(call, runtime.now()) || alarm.poll(call.begin_by, cx).is_ready()) {
+                return Poll::Ready(without(Outcome::Cancelled));
+            }
             while !out.is_empty() {
                 match Pin::new(&mut *stream).poll_write(cx, &out) {
                     Poll::Ready(Ok(n)) if n > 0 => out.advance(n),
--- a/crates/platform/src/pool.rs
+++ b/crates/platform/src/pool.rs
@@ -9,9 +9,9 @@
 use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 
-/// How long a connection rests after an answer: what comes behind an answer, and belongs to nobody, comes at once. A
-/// request written earlier would take it for its own.
-const REST: Micros = 2000;
+/// How long a connection rests after an answer: what comes behind an answer, and belongs to nobody, may come some
+/// milliseconds late. A request written earlier would take it for its own, and nobody could tell.
+const REST: Micros = 20_000;
 
 /// Ages of connections are told apart by the power of two of their milliseconds.
 const AGES: usize = 16;
--- a/crates/simhost/src/wire.rs
+++ b/crates/simhost/src/wire.rs
@@ -248,7 +248,8 @@
             let mut put = |at: usize, bytes: &[u8]| r[at..at + bytes.len()].copy_from_slice(bytes);
             let mut code = |value: u8| put(0, &[value]);
             match action {
-                Action::Send { id, backend, expires } => {
+                // What is sent on there has begun at once.
+                Action::Send { id, backend, expires, begin_by: _ } => {
                     code(10);
                     put(3, &id.0.to_le_bytes());
                     put(11, &expires.to_le_bytes());
@@ -331,7 +332,11 @@
     fn every_action_has_its_code_and_its_fields_in_place() {
         let (id, backend) = (RequestId(0x0a_0b0c), BackendId(0x0605_0403_0201));
         let actions = [
-            (10, Action::Send { id, backend, expires: 77 }, vec![(3, 0x0c), (11, 77), (19, 1), (24, 6)]),
+            (
+                10,
+                Action::Send { id, backend, expires: 77, begin_by: 0 },
+                vec![(3, 0x0c), (11, 77), (19, 1), (24, 6)],
+            ),
             (20, Action::Refuse { id, pause: 300 }, vec![(3, 0x0c), (11, 44), (12, 1)]),
             (30, Action::Fail(id), vec![(3, 0x0c), (4, 0x0b)]),
             (40, Action::Cancel { id, attempt: 258 }, vec![(3, 0x0c), (11, 2), (12, 1)]),
