Endings: listeners, connections and sessions end in order, and who leaves is noticed always

Seen, cause, lines: - Connections that the system had accepted were reset when the drain closed the listener, with whole requests in them: listen() in gateway/src/front/mod.rs returned at the drain. Now it takes all that are there first; connections taken then are told of the drain too (Gate::offer). - Closing destroyed the last answer by a reset where bytes lay unread, and a request that crossed the end got a reset in place of an end: Pipe::close never shut the write side (async-io's poll_close only flushes). Now: output, shut, read and throw away until the other side is shut or a bound. - Commands that were read and stood behind 32 open ones, half a command, and a new connection's first request were dropped by a drain: Session::stop threw the input away. Now what has come or has begun to come is answered; 0.4 s for the rest of it. - A client that left was not noticed while nothing was read from it (32 open, form broken, output blocked, the driver's channel full), and its waiting requests were sent on.

--- a/crates/gateway/src/front/mod.rs
+++ b/crates/gateway/src/front/mod.rs
@@ -98,15 +98,30 @@
 /// How long a refused client may take to read why, in microseconds.
 pub(crate) const WORD: Micros = 200_000;
 
-/// Takes connections until the drain begins.
+/// Takes connections until the drain begins, then those that the system has accepted by then, and closes the listener: with
+/// it they would be reset, with whole requests in them.
 pub async fn listen<F: Front>(front: F, door: F::Door, at: Entrance, listener: Box<dyn Listener>) {
+    // Something is open as long as connections may be waiting here.
+    at.open.fetch_add(1, Ordering::Relaxed);
+    let mut draining = false;
     loop {
-        let drained = async {
-            let _ = at.drain.recv().await;
-            None
+        let arrived = if draining {
+            future::poll_once(listener.accept()).await
+        } else {
+            let drained = async {
+                let _ = at.drain.recv().await;
+                None
+            };
+            future::or(drained, async { Some(listener.accept().await) }).await
         };
-        let Some(arrived) = future::or(drained, async { Some(listener.accept().await) }).await else {
-            return;
+        let Some(arrived) = arrived else {
+            if draining {
+                drop(listener);
+                at.open.fetch_sub(1, Ordering::Relaxed);
+                return;
+            }
+            draining = true;
+            continue;
         };
         let stream = match arrived {
             Ok(stream) => stream,
@@ -128,7 +143,10 @@
             Err(Refusal { word: Some(word), pause }) => {
                 at.spawn(front.refuse(at.runtime.clone(), stream, pause), move || drop(word));
             }
-            Err(_) => drop(stream), // closed at once rather than left hanging
+            // No descriptor is left to wait with: what can be said at once is said, and it is closed.
+            Err(Refusal { pause, .. }) => {
+                let _ = future::poll_once(front.refuse(at.runtime.clone(), stream, pause)).await;
+            }
         }
         // Hundreds may wait to be accepted: those that are to go for them go first, and those that ask are heard.
         future::yield_now().await;
--- a/crates/gateway/src/gate.rs
+++ b/crates/gateway/src/gate.rs
@@ -187,7 +187,9 @@
                     s.signals.remove(&victim);
                 }
                 let (signal, receiver) = async_channel::bounded(1);
-                s.signals.insert(id, signal);
+                if !s.draining {
+                    s.signals.insert(id, signal); // else it is told at once
+                }
                 Ok(Pass { gate: self.clone(), id, signal: receiver })
             }
             Offer::Refuse { reason, word, pause } => {
@@ -209,6 +211,11 @@
         }
     }
 
+    /// How many connections are open.
+    pub fn open(&self) -> usize {
+        self.state().decider.open_by_standing().iter().sum::<u64>() as usize
+    }
+
     /// Accepting failed for want of a resource; gives when to try again.
     pub fn accept_failed(&self, error: &std::io::Error) -> Micros {
         add(&self.telemetry.accept_failed);
--- a/crates/pipe/src/lib.rs
+++ b/crates/pipe/src/lib.rs
@@ -11,12 +11,17 @@
 use futures_lite::{future, AsyncRead, AsyncWrite, Stream as _};
 use std::future::Future;
 use std::pin::Pin;
-use std::task::Poll;
+use std::task::{Context, Poll};
 
 /// Unwritten bytes from which nothing more is read or taken: the peer reads too slowly.
 const HIGH_WATER: usize = 256 << 10;
 /// What is read at once. On the stack: an idle connection holds no buffer.
 const READ: usize = 16 << 10;
+/// How often it is looked whether a peer has left while nothing is read from it: nothing wakes a task for that where bytes
+/// lie before the end. A client that left is to be known of within a tenth of a second.
+const LOOK: Micros = 25_000;
+/// Pieces of what is thrown away at once, before others have their turn.
+const PIECES: usize = 16;
 
 /// Runs a task until it ends, or until the other end of `life` is dropped, at its next pause then.
 pub async fn while_alive(life: Receiver<()>, task: impl Future<Output = ()>) {
@@ -26,6 +31,26 @@
     future::or(over, task).await;
 }
 
+/// Shuts the write side of a stream, once, then reads and throws away until the other side is shut as well.
+pub fn linger(stream: &mut dyn Stream, cx: &mut Context<'_>) -> Poll<()> {
+    // Shut twice it is shut once; one that has ended already has nothing to be waited for.
+    match Pin::new(&mut *stream).poll_close(cx) {
+        Poll::Ready(Ok(())) => {}
+        Poll::Ready(Err(_)) => return Poll::Ready(()),
+        Poll::Pending => return Poll::Pending,
+    }
+    let mut buffer = [0; READ];
+    for _ in 0..PIECES {
+        match Pin::new(&mut *stream).poll_read(cx, &mut buffer) {
+            Poll::Ready(Ok(n)) if n > 0 => {}
+            Poll::Ready(_) => return Poll::Ready(()),
+            Poll::Pending => return Poll::Pending,
+        }
+    }
+    cx.waker().wake_by_ref();
+    Poll::Pending
+}
+
 /// A side of a connection that takes bytes and gives bytes, free of I/O.
 pub trait Machine {
     /// Why a connection cannot go on.
@@ -86,6 +111,8 @@
     alarm: Alarm,
     /// Since when unwritten bytes lie, and how many were written meanwhile.
     backlog: Option<(Micros, u64)>,
+    /// When it is looked next whether the peer has left, while nothing is read.
+    look: Option<Micros>,
 }
 
 impl<C, M: Machine> Pipe<C, M> {
@@ -99,7 +126,7 @@
     ) -> Self {
         let alarm = Alarm::new(runtime.clone());
         let (commands, signal) = (Box::pin(commands), Some(Box::pin(signal)));
-        Pipe { runtime, stream, conn, commands, signal, alarm, backlog: None }
+        Pipe { runtime, stream, conn, commands, signal, alarm, backlog: None, look: None }
     }
 
     /// Since when there have always been unwritten bytes, and how many the peer has read since.
@@ -117,7 +144,15 @@
         self.commands.try_recv().ok()
     }
 
-    /// Writes what is to be written, then waits for something to happen. `read`: bytes may be taken.
+    /// Ends when the peer has left, without taking bytes.
+    pub async fn left(&mut self) {
+        while !self.stream.left() {
+            self.runtime.sleep_until(self.runtime.now() + LOOK).await;
+        }
+    }
+
+    /// Writes what is to be written, then waits for something to happen. `read`: bytes may be taken. A peer that leaves is
+    /// noticed all the same.
     pub async fn turn(&mut self, until: Option<Micros>, read: bool) -> Turn<C, M::Error> {
         future::poll_fn(|cx| {
             loop {
@@ -140,7 +175,8 @@
                     }
                 }
             }
-            if self.conn.output().len() < HIGH_WATER {
+            let calm = self.conn.output().len() < HIGH_WATER;
+            if calm {
                 match self.commands.as_mut().poll_next(cx) {
                     Poll::Ready(Some(c)) => return Poll::Ready(Turn::Command(c)),
                     Poll::Ready(None) => return Poll::Ready(Turn::Closed),
@@ -166,24 +202,45 @@
                     return Poll::Ready(Turn::Signal);
                 }
             }
-            self.alarm.poll(until, cx).map(|()| Turn::Time)
+            loop {
+                let look =
+                    if calm && read { None } else { self.look.or_else(|| Some(self.runtime.now() + LOOK)) };
+                self.look = look;
+                let next = until.into_iter().chain(look).min();
+                if self.alarm.poll(next, cx).is_pending() {
+                    return Poll::Pending;
+                }
+                let now = self.runtime.now();
+                if until.is_some_and(|u| u <= now) {
+                    return Poll::Ready(Turn::Time);
+                }
+                if self.stream.left() {
+                    return Poll::Ready(Turn::Closed);
+                }
+                self.look = None;
+            }
         })
         .await
     }
 
-    /// Writes what is left, as far as the peer reads it until a time, and closes the stream.
+    /// Ends the connection in order: what is left is written, as far as the peer reads it, the write side is shut, and what
+    /// the peer still sends is read and thrown away until it has shut its own, or until a time. A close over unread bytes
+    /// would be a reset, which destroys the last answer on its way.
     pub async fn close(mut self, until: Micros) {
-        let flush = future::poll_fn(|cx| loop {
-            let output = self.conn.output();
-            if output.is_empty() {
-                return Pin::new(&mut self.stream).poll_close(cx).map(|_| ());
-            }
-            match Pin::new(&mut self.stream).poll_write(cx, output) {
-                Poll::Ready(Ok(n)) if n > 0 => output.advance(n),
-                Poll::Ready(_) => return Poll::Ready(()),
-                Poll::Pending => return Poll::Pending,
+        let end = future::poll_fn(|cx| {
+            loop {
+                let output = self.conn.output();
+                if output.is_empty() {
+                    break;
+                }
+                match Pin::new(&mut self.stream).poll_write(cx, output) {
+                    Poll::Ready(Ok(n)) if n > 0 => output.advance(n),
+                    Poll::Ready(_) => return Poll::Ready(()),
+                    Poll::Pending => return Poll::Pending,
+                }
             }
+            linger(&mut *self.stream, cx)
         });
-        future::or(flush, self.runtime.sleep_until(until)).await;
+        future::or(end, self.runtime.sleep_until(until)).await;
     }
 }
--- a/crates/platform/src/front.rs
+++ b/crates/platform/src/front.rs
@@ -2,11 +2,11 @@
 
 use crate::request::{Grammar, Request, Work};
 use crate::session::{Heard, Session, MOST_OPEN};
-use async_channel::Sender;
+use async_channel::{Sender, TrySendError};
 use chalkgap::doors::{Answer, Ask, Customer, Front, Input, Pass, Reply};
 use chalkgap::telemetry::{add, Telemetry};
 use chalkgap_core::{CustomerId, RequestId};
-use chalkgap_pipe::{Pipe, Turn};
+use chalkgap_pipe::{linger, Pipe, Turn};
 use chalkgap_runtime::{BoxFuture, Micros, Shared, Stream};
 use futures_lite::{future, AsyncWriteExt};
 use std::collections::{HashMap, HashSet};
@@ -22,10 +22,10 @@
 const UNREAD: Micros = 10_000_000;
 /// How long a client that is told to go may take to close.
 const LINGER: Micros = 300_000;
+/// The same for one that gives way to another: its last answer left long before, and its place is wanted.
+const GIVES_WAY: Micros = 20_000;
 /// For the way back: an answer has to be with the client by its deadline.
 const MARGIN: Micros = 4_000;
-/// How long after the drain began what is still open is answered all the same: the platform kills the process soon.
-pub const OVERTIME: Micros = 3_300_000;
 
 /// What all connections share.
 #[derive(Clone)]
@@ -38,8 +38,8 @@
     pub ids: Arc<AtomicU64>,
     /// Ids of clients' requests that are open.
     pub open: Arc<Mutex<HashSet<u64>>>,
-    /// When the drain began; 0 before.
-    pub draining: Arc<AtomicU64>,
+    /// When what is still open is answered all the same, as the platform kills the process soon; 0 before the drain.
+    pub overtime: Arc<AtomicU64>,
 }
 
 impl Door {
@@ -70,15 +70,23 @@
             let session = Session::new(door.grammar.clone());
             let pipe = Pipe::new(runtime, stream, session, replies, pass.signal.clone());
             let began = door.runtime.now();
-            Client { door, pass, reply, asked: HashMap::new(), began, partial: None }.serve(pipe).await;
+            let asked = HashMap::new();
+            Client { door, pass, reply, asked, began, partial: None, closing: None }.serve(pipe).await;
         })
     }
 
-    fn refuse(&self, runtime: Shared, mut stream: Box<dyn Stream>, _: Micros) -> BoxFuture<'static, ()> {
+    fn refuse(&self, runtime: Shared, mut stream: Box<dyn Stream>, pause: Micros) -> BoxFuture<'static, ()> {
         Box::pin(async move {
             let write = async {
-                // Whether it is read or not, the connection is closed.
-                let _ = stream.write_all(b"-ERR too many connections\r\n").await;
+                // Nothing of what it asks has left, and will not: harmless to ask again. Whether this is read or not, the
+                // connection is closed.
+                let text = match pause {
+                    0 => "-BUSY\r\n".to_owned(),
+                    pause => format!("-BUSY {}\r\n", pause.div_ceil(1000)),
+                };
+                if stream.write_all(text.as_bytes()).await.is_ok() {
+                    future::poll_fn(|cx| linger(&mut *stream, cx)).await;
+                }
             };
             future::or(write, runtime.sleep_until(runtime.now() + LINGER)).await;
         })
@@ -94,19 +102,22 @@
     began: Micros,
     /// Since when a command is half there.
     partial: Option<Micros>,
+    /// Since when the end of the connection has begun with that of the process.
+    closing: Option<Micros>,
 }
 
 type ClientPipe = Pipe<Reply, Session>;
 
 impl Client {
     async fn serve(mut self, mut pipe: ClientPipe) {
+        let mut linger = LINGER;
         loop {
-            let drain = self.door.draining.load(Ordering::Relaxed);
-            let overtime = (drain > 0).then_some(drain + OVERTIME);
+            let overtime = Some(self.door.overtime.load(Ordering::Relaxed)).filter(|o| *o > 0);
             let silent = (pipe.conn.commands() == 0 && !pipe.conn.stopped()).then_some(self.began + PATIENCE);
             let half = self.partial.map(|p| p + PATIENCE);
             let unread = pipe.backlog().map(|b| b.0 + UNREAD);
-            let until = [overtime, silent, half, unread].into_iter().flatten().min();
+            let rest = self.closing.filter(|_| pipe.conn.reads()).map(|c| c + SENDING);
+            let until = [overtime, silent, half, unread, rest].into_iter().flatten().min();
             let read = pipe.conn.reads();
             match pipe.turn(until, read).await {
                 Turn::Read => {}
@@ -117,9 +128,14 @@
                     }
                 }
                 Turn::Signal => {
+                    // It comes when nothing is there to be read.
                     let now = self.door.runtime.now();
                     let sending = self.partial.is_some_and(|p| now < p + SENDING);
-                    if self.pass.draining() || (pipe.conn.idle() && !sending) {
+                    if self.pass.draining() {
+                        self.closing = Some(now);
+                        pipe.conn.close();
+                    } else if pipe.conn.idle() && !sending {
+                        linger = GIVES_WAY;
                         pipe.conn.stop();
                     } else {
                         pipe.watch(self.pass.stays());
@@ -132,6 +148,8 @@
                         self.overtime(&mut pipe.conn).await;
                     } else if due(unread) {
                         break;
+                    } else if due(rest) {
+                        pipe.conn.shut();
                     } else if due(half) || due(silent) {
                         add(&self.door.telemetry.too_slow);
                         pipe.conn.fail("ERR no whole command in time");
@@ -141,7 +159,9 @@
                 Turn::Closed => break,
             }
             let before = pipe.conn.commands();
-            self.heard(&mut pipe.conn).await;
+            if !self.heard(&mut pipe).await {
+                break;
+            }
             if before == 0 && pipe.conn.commands() > 0 {
                 self.pass.handshaken();
             }
@@ -153,7 +173,7 @@
                 false => None,
             };
             if pipe.conn.over() {
-                let until = self.door.runtime.now() + LINGER;
+                let until = self.door.runtime.now() + linger;
                 pipe.close(until).await;
                 break;
             }
@@ -161,18 +181,31 @@
         self.give_up().await;
     }
 
-    /// Takes what can be taken of what the client has sent.
-    async fn heard(&mut self, session: &mut Session) {
+    /// Takes what can be taken of what the client has sent; false if it has left meanwhile.
+    async fn heard(&mut self, pipe: &mut ClientPipe) -> bool {
         loop {
-            let next = session.next(|id| self.door.open().insert(id));
-            let Some(Heard { token, request }) = next else { break };
+            let next = pipe.conn.next(|id| self.door.open().insert(id));
+            let Some(Heard { token, request }) = next else { return true };
             self.pass.request();
             let id = request.id;
             let ask = self.door.ask(token, request, self.reply.clone());
             self.asked.insert(token, (ask.id, id));
-            if self.door.driver.send(Input::Ask(Box::new(ask))).await.is_err() {
-                session.stop(); // the instance has stopped
-                break;
+            // Where the driver has no room for it, it is handed over later, unless its client leaves before.
+            let sent = match self.door.driver.try_send(Input::Ask(Box::new(ask))) {
+                Err(TrySendError::Full(ask)) => {
+                    let sent = async { Some(self.door.driver.send(ask).await.is_ok()) };
+                    let left = async {
+                        pipe.left().await;
+                        None
+                    };
+                    future::or(sent, left).await
+                }
+                sent => Some(sent.is_ok()),
+            };
+            match sent {
+                Some(true) => {}
+                Some(false) => pipe.conn.stop(), // the instance has stopped
+                None => return false,
             }
         }
     }
@@ -187,11 +220,11 @@
 
     /// The process will be killed soon: what is still open has failed.
     async fn overtime(&mut self, session: &mut Session) {
-        session.stop();
         for token in self.give_up().await {
             self.pass.ended(None, false);
             session.answered(token, Answer::Failed { late: true });
         }
+        session.refuse_rest();
     }
 
     /// Nobody waits for what is out any more; gives the numbers of its slots.
--- a/crates/platform/src/ingress.rs
+++ b/crates/platform/src/ingress.rs
@@ -4,7 +4,8 @@
 use crate::backend::{self, Links};
 use crate::config::Config;
 use crate::discovery;
-use crate::front::{Door, Resp, OVERTIME};
+use crate::ending::Ends;
+use crate::front::{Door, Resp};
 use crate::list::Roster;
 use crate::peers;
 use crate::request::Grammar;
@@ -27,8 +28,6 @@
 const PEER_ROOM: usize = 256;
 /// How long the first list of discovery may keep clients waiting.
 const FIRST_LIST: Micros = 500_000;
-/// After the word to end, how long clients are still taken: they go on coming for up to 0.4 s.
-const STILL_TAKEN: Micros = 450_000;
 /// The part of the memory that answers of backends may take while they come in: 1 by this. They are held once more on
 /// their way out.
 const ANSWERS: u64 = 5;
@@ -61,7 +60,8 @@
     open: Arc<AtomicUsize>,
     gate: Arc<Gate>,
     moves: Sender<SocketAddr>,
-    draining: Arc<AtomicU64>,
+    ends: Ends,
+    overtime: Arc<AtomicU64>,
     drain: Option<Sender<()>>,
     _kill: Sender<()>,
 }
@@ -184,7 +184,8 @@
 
         let listener = runtime.listen(config.listen).map_err(|e| bind("listen", config.listen, e))?;
         let address = listener.address();
-        let (open, draining) = (Arc::new(AtomicUsize::new(0)), Arc::new(AtomicU64::new(0)));
+        let (open, overtime) = (Arc::new(AtomicUsize::new(0)), Arc::new(AtomicU64::new(0)));
+        let longest = terms.settings.classes.iter().map(|c| c.deadline).max();
         let entrance = Entrance {
             runtime: runtime.clone(),
             telemetry: telemetry.clone(),
@@ -200,7 +201,7 @@
             grammar: Arc::new(Grammar::new(&terms)),
             ids: Arc::new(AtomicU64::new(1)),
             open: Arc::default(),
-            draining: draining.clone(),
+            overtime: overtime.clone(),
         };
         start(Box::pin(gate.clone().watch()));
         start(Box::pin(listen(Resp, door, entrance, listener)));
@@ -212,7 +213,8 @@
             open,
             gate,
             moves,
-            draining,
+            ends: Ends::within(longest.unwrap_or_default()),
+            overtime,
             drain: Some(drain),
             _kill: kill,
         })
@@ -228,6 +230,11 @@
         self.telemetry.counts()
     }
 
+    /// How many of clients' connections are open.
+    pub fn open(&self) -> usize {
+        self.gate.open()
+    }
+
     /// Takes a new configuration: discovery's address. All else is for the next start.
     pub fn reload(&self, config: &Config) {
         let _ = self.moves.try_send(config.discovery); // full: a later one follows
@@ -237,11 +244,11 @@
     /// answered, at the latest when the process is about to be killed.
     pub async fn drain(&mut self) {
         let now = self.runtime.now();
-        self.draining.store(now, Ordering::Relaxed);
-        self.runtime.sleep_until(now + STILL_TAKEN).await;
+        self.overtime.store(now + self.ends.overtime, Ordering::Relaxed);
+        self.runtime.sleep_until(now + self.ends.taken).await;
         self.drain = None;
         self.gate.drain();
-        let until = now + OVERTIME + 300_000;
+        let until = now + self.ends.process;
         while self.open.load(Ordering::Relaxed) > 0 && self.runtime.now() < until {
             self.runtime.sleep_until(self.runtime.now() + 5000).await;
         }
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -9,6 +9,7 @@
 //! - [`request`]: a client's command
 //! - [`session`]: a client's connection
 //! - [`answer`]: a backend's answer
+//! - [`ending`]: when an ingress that was told to end does what
 //! - [`pool`]: which connection an attempt goes by
 //! - [`Ingress`]: all of it, running
 
@@ -16,6 +17,7 @@
 mod backend;
 pub mod config;
 pub mod discovery;
+pub mod ending;
 pub mod feed;
 mod front;
 mod ingress;
--- a/crates/platform/src/session.rs
+++ b/crates/platform/src/session.rs
@@ -35,6 +35,10 @@
     first: u32,
     /// Nothing more is read: the client broke the form, or is not to ask any more.
     over: bool,
+    /// Its end has begun: what has come or has begun to come is answered, nothing else is waited for.
+    closing: bool,
+    /// Nothing more is read, and half a command is waited for no longer; whole ones that came are still answered.
+    shut: bool,
     /// Whole commands that came.
     commands: u64,
 }
@@ -73,7 +77,17 @@
     /// A new connection.
     pub fn new(grammar: Arc<Grammar>) -> Self {
         let (input, output, slots) = (BytesMut::new(), BytesMut::new(), VecDeque::new());
-        Session { grammar, input, output, slots, first: 0, over: false, commands: 0 }
+        Session {
+            grammar,
+            input,
+            output,
+            slots,
+            first: 0,
+            over: false,
+            closing: false,
+            shut: false,
+            commands: 0,
+        }
     }
 
     /// The next request. `take` reserves its id, or says why it may not be had; all that can be answered without
@@ -103,6 +117,9 @@
                 Err(e) => self.slots.push_back(Slot::Done(line(b'-', &format!("ERR {e}")))),
             }
         }
+        if self.shut && self.slots.len() < MOST_OPEN {
+            self.stop(); // what is left is half a command
+        }
         if self.input.is_empty() {
             self.input = BytesMut::new(); // an idle connection holds no buffer
         }
@@ -110,6 +127,31 @@
         None
     }
 
+    /// Begins its end, when nothing is there to be read any more: what has come or has begun to come is still taken and
+    /// answered, also the first command of a connection that has sent none.
+    pub fn close(&mut self) {
+        self.closing = true;
+    }
+
+    /// Whether its end has begun.
+    pub fn closing(&self) -> bool {
+        self.closing
+    }
+
+    /// Ends the wait for the rest of a command; whole ones that came before are still answered.
+    pub fn shut(&mut self) {
+        (self.closing, self.shut) = (true, true);
+    }
+
+    /// Refuses the whole commands that came and were not begun, in their order: nothing of them has left.
+    pub fn refuse_rest(&mut self) {
+        while let Ok(Some(_)) = command(&mut self.input, &COMMANDS) {
+            self.slots.push_back(Slot::Done(line(b'-', "BUSY")));
+        }
+        self.stop();
+        self.flush();
+    }
+
     /// A request's answer; gives the id that it had.
     pub fn answered(&mut self, token: u32, answer: Answer) -> Option<u64> {
         let slot = self.slots.get_mut(token.wrapping_sub(self.first) as usize)?;
@@ -141,12 +183,15 @@
 
     /// Whether it may be closed, once its output is written.
     pub fn over(&self) -> bool {
-        self.over && self.slots.is_empty()
+        let answered = self.closing && self.input.is_empty() && self.commands > 0;
+        (self.over || answered) && self.slots.is_empty()
     }
 
     /// Whether bytes may be read.
     pub fn reads(&self) -> bool {
-        !self.over && self.slots.len() < MOST_OPEN && self.input.len() < FULL
+        let room = self.slots.len() < MOST_OPEN && self.input.len() < FULL;
+        let wanted = !self.closing || !self.input.is_empty() || self.commands == 0;
+        !self.over && !self.shut && room && wanted
     }
 
     /// Whether a command has begun and is not whole.
--- a/crates/platform/tests/common/mod.rs
+++ b/crates/platform/tests/common/mod.rs
@@ -7,7 +7,7 @@
 use std::io::{Read, Write};
 use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Condvar, Mutex};
 use std::time::Duration;
 
 pub const LIMITS: Limits = Limits { elements: 8, depth: 2, bulk: 1 << 17, line: 600, whole: 1 << 18 };
@@ -73,6 +73,39 @@
     SayAndEnd(&'static [u8]),
     /// Says nothing, until the other side closes.
     Nothing,
+    /// Writes this when the test lets it, and goes on.
+    SayWhen(&'static Gate, &'static [u8]),
+}
+
+/// What the test's word opens, for good.
+#[derive(Default)]
+pub struct Gate {
+    open: Mutex<bool>,
+    changed: Condvar,
+}
+
+impl Gate {
+    /// A closed one; it lives as long as the tests do.
+    pub fn closed() -> &'static Gate {
+        Box::leak(Box::default())
+    }
+
+    pub fn open(&self) {
+        *self.open.lock().unwrap() = true;
+        self.changed.notify_all();
+    }
+
+    /// Waits until it is open.
+    pub fn wait(&self) {
+        let open = self.open.lock().unwrap();
+        drop(self.changed.wait_timeout_while(open, PATIENCE, |open| !*open).unwrap());
+    }
+}
+
+/// The words of the first whole command in a buffer.
+pub fn command_words(buffer: &mut BytesMut) -> Option<Vec<String>> {
+    let command = command(buffer, &LIMITS).ok()??;
+    Some(command.words.iter().map(|w| String::from_utf8_lossy(w).into_owned()).collect())
 }
 
 /// What backends saw, in its order.
@@ -99,9 +132,7 @@
 ) {
     let (mut buffer, mut piece) = (BytesMut::new(), [0; 4096]);
     loop {
-        while let Ok(Some(c)) = command(&mut buffer, &LIMITS) {
-            let words: Vec<String> =
-                c.words.iter().map(|w| String::from_utf8_lossy(w).into_owned()).collect();
+        while let Some(words) = command_words(&mut buffer) {
             let n = count.fetch_add(1, Ordering::SeqCst);
             journal.lock().unwrap().push(words.clone());
             match script(n, &words) {
@@ -111,6 +142,10 @@
                     return;
                 }
                 Act::Nothing => {}
+                Act::SayWhen(gate, bytes) => {
+                    gate.wait();
+                    stream.write_all(bytes).unwrap_or_default();
+                }
             }
         }
         match stream.read(&mut piece) {
@@ -129,7 +164,11 @@
 }
 
 pub fn discovery(list: String) -> Discovery {
-    let (listener, address) = listener();
+    serve_discovery(listener().0, list)
+}
+
+pub fn serve_discovery(listener: TcpListener, list: String) -> Discovery {
+    let address = listener.local_addr().unwrap();
     let d = Discovery { port: address.port(), list: Arc::new(Mutex::new(list)), ..Discovery::default() };
     let all = d.clone();
     std::thread::spawn(move || {
--- a/crates/platform/tests/whole_path.rs
+++ b/crates/platform/tests/whole_path.rs
@@ -1,83 +1,12 @@
 //! The ingress on loopback, judged from what clients and backends saw on their sockets.
 
-use chalkgap_platform::{Config, Ingress};
-use chalkgap_runtime::system::System;
-use common::{backend, config, discovery, Act, Client, Discovery, Journal, GOOD};
-use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::Arc;
+use common::{backend, Act, Journal, GOOD};
+use rig::{always, first, Fixture};
+use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 mod common;
-
-type Script = Box<dyn Fn(usize, &[String]) -> Act + Send + Sync>;
-
-struct Fixture {
-    address: SocketAddr,
-    journal: Journal,
-    discovery: Discovery,
-    end: Arc<AtomicBool>,
-    drain: async_channel::Sender<()>,
-    thread: Option<std::thread::JoinHandle<()>>,
-}
-
-impl Fixture {
-    /// An ingress over backends that follow their scripts.
-    fn start(scripts: Vec<Script>) -> Fixture {
-        let journal = Journal::default();
-        let ports: Vec<u16> = scripts.into_iter().map(|s| backend(journal.clone(), s)).collect();
-        Fixture::over(journal, &ports)
-    }
-
-    fn over(journal: Journal, ports: &[u16]) -> Fixture {
-        let text = config(1, 0, ports);
-        let from = text.find("\"known\":").unwrap() + 8;
-        let known = &text[from..text.find(",\"settings\"").unwrap()];
-        let discovery = discovery(known.to_owned());
-        let config = Config::parse("test", config(1, discovery.port, ports).as_bytes()).unwrap();
-        let (tell, told) = std::sync::mpsc::channel();
-        let (end, (drain, drained)) = (Arc::new(AtomicBool::new(false)), async_channel::bounded::<()>(1));
-        let ended = end.clone();
-        let thread = std::thread::spawn(move || {
-            let system = System::new();
-            system.clone().run(async move {
-                let mut ingress = Ingress::start(config, system).await.unwrap();
-                tell.send(ingress.address()).unwrap();
-                let _ = drained.recv().await;
-                ingress.drain().await;
-                ended.store(true, Ordering::SeqCst);
-            });
-        });
-        let address = told.recv_timeout(common::PATIENCE).unwrap();
-        Fixture { address, journal, discovery, end, drain, thread: Some(thread) }
-    }
-
-    fn client(&self) -> Client {
-        Client::connect(self.address)
-    }
-
-    fn seen(&self) -> usize {
-        self.journal.lock().unwrap().len()
-    }
-}
-
-impl Drop for Fixture {
-    fn drop(&mut self) {
-        self.drain.close();
-        if let Some(thread) = self.thread.take() {
-            let _ = thread.join();
-        }
-    }
-}
-
-fn always(act: Act) -> Script {
-    Box::new(move |_, _| act)
-}
-
-/// Does one thing with the first request and another with all later ones.
-fn first(act: Act, then: Act) -> Script {
-    Box::new(move |n, _| if n == 0 { act } else { then })
-}
+mod rig;
 
 #[test]
 fn a_request_goes_through_unchanged_but_for_its_time() {
@@ -125,7 +54,7 @@
     }
     // Nobody listens: it never ran, and the refusal says so at once.
     let closed = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap().port();
-    let f = Fixture::over(Journal::default(), &[closed]);
+    let f = Fixture::over(Journal::default(), &[closed], &[]);
     let mut c = f.client();
     c.submit(1);
     assert!(c.text().starts_with("-BUSY"));
@@ -242,7 +171,7 @@
     let journal = Journal::default();
     let (old, new) = (Journal::default(), Journal::default());
     let ports = [backend(old.clone(), always(Act::Say(GOOD))), backend(new.clone(), always(Act::Say(GOOD)))];
-    let f = Fixture::over(journal, &ports[..1]);
+    let f = Fixture::over(journal, &ports[..1], &[]);
     let mut c = f.client();
     c.query(1, 2000);
     assert_eq!((c.text(), old.lock().unwrap().len()), ("value".into(), 1));
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -36,6 +36,9 @@
 pub trait Stream: AsyncRead + AsyncWrite + Send + Unpin {
     /// The other end's address.
     fn peer(&self) -> SocketAddr;
+    /// Whether the other end has shut its side or reset the stream, as far as the system knows: also where bytes that came
+    /// before it lie unread. Takes none of them.
+    fn left(&self) -> bool;
 }
 
 /// A place where streams arrive.
--- a/crates/runtime/src/system.rs
+++ b/crates/runtime/src/system.rs
@@ -7,7 +7,7 @@
 use socket2::{Domain, Protocol, Socket, Type};
 use std::fs;
 use std::io::{Read, Write};
-use std::net::{TcpListener, TcpStream, UdpSocket};
+use std::net::{Shutdown, TcpListener, TcpStream, UdpSocket};
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -75,7 +75,9 @@
     }
 
     fn poll_close(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_close(cx)
+        // The stream's own only flushes: the write side would stay open until the socket is dropped.
+        let flushed = Pin::new(&mut self.stream).poll_close(cx);
+        flushed.map(|f| f.and_then(|()| self.stream.get_ref().shutdown(Shutdown::Write)))
     }
 }
 
@@ -83,6 +85,15 @@
     fn peer(&self) -> SocketAddr {
         self.peer
     }
+
+    fn left(&self) -> bool {
+        use rustix::event::{poll, PollFd, PollFlags};
+        let mut asked = [PollFd::new(self.stream.get_ref(), PollFlags::RDHUP)];
+        let at_once = rustix::event::Timespec { tv_sec: 0, tv_nsec: 0 };
+        // A system that cannot say it says nothing: reading tells in the end.
+        let said = poll(&mut asked, Some(&at_once)).is_ok_and(|n| n > 0);
+        said && asked[0].revents().intersects(PollFlags::RDHUP | PollFlags::HUP | PollFlags::ERR)
+    }
 }
 
 struct TcpDoor {
--- a/crates/runtime/src/virtual_world.rs
+++ b/crates/runtime/src/virtual_world.rs
@@ -302,6 +302,15 @@
     fn peer(&self) -> SocketAddr {
         self.peer
     }
+
+    fn left(&self) -> bool {
+        let s = lock(&self.state);
+        let link = s.link(self.hosts.1, self.hosts.0);
+        let way = lock(&self.read);
+        // A side that was shut is known once all that was sent before it has come.
+        let come = way.under_way.back().is_none_or(|(at, _)| *at <= s.now);
+        link.cut != Some(Cut::Silent) && !link.half_open && (way.reset || way.ended && come)
+    }
 }
 
 impl futures_lite::AsyncRead for End {
