--- /dev/null
+++ b/crates/core/tests/cold_fleet.rs
@@ -0,0 +1,307 @@
+//! What a whole fleet sends to backends that have just started: the sum over all gateways in every window of the rule, beside
+//! what the settings allow and chance excuses.
+
+use chalkgap_core::*;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+
+const T0: Micros = 1_000_000_000;
+const S: Micros = 1_000_000;
+const BACKENDS: u64 = 12;
+/// Requests of mean work that a warm backend does in a second.
+const CAPACITY: f64 = 20.0;
+const WORK: Micros = 150_000;
+const WINDOW: Micros = 2 * S;
+const FACTOR: f64 = 3.0;
+const COLD: (f64, Micros) = (0.2, 10 * S);
+const START: Micros = T0 + 6 * S;
+
+fn settings(gateways: u16, me: u16) -> Settings {
+    let class = Class {
+        aim: S,
+        aim_stretch: 0.0,
+        deadline: 4 * S,
+        worth: 1.0,
+        late_worth: 0.0,
+        repeat: Repeat::Safe,
+        stream: false,
+    };
+    let plan = Plan {
+        rate: 1e6,
+        burst: 1e6,
+        open_cap: 0,
+        ceiling_rate: 0.0,
+        ceiling_burst: 0.0,
+        ceiling_slack: 0.0,
+        price: 1.0,
+        over_worth: 0.0,
+        over_cost: 1.0,
+    };
+    Settings {
+        gateways,
+        me: GatewayNo(me),
+        zone: 0,
+        tick: 4_000,
+        classes: vec![class],
+        plans: vec![plan],
+        limits: Limits {
+            max_attempts: 3,
+            second_copies: true,
+            cancel: true,
+            probes: false,
+            peers: true,
+            peer_in_per_s: 60.0,
+            retry_after: true,
+            max_retry_after: 2 * S,
+            counter: false,
+            max_open: 20_000,
+        },
+        rules: Rules {
+            answer_slack: 16_000,
+            drain_grace: 2 * S,
+            cold_from: COLD.0,
+            cold_time: COLD.1,
+            fall_factor: FACTOR,
+            fall_time: WINDOW,
+            must_ask: 10 * S,
+        },
+        ..Settings::default()
+    }
+}
+
+fn listed(n: u64, started: Micros) -> Listed {
+    Listed {
+        backend: BackendId(n),
+        zone: (n % 2) as u8,
+        cell: (n % 2) as u16,
+        kind: 0,
+        availability: Availability::Ready,
+        size: 1.0,
+        started,
+    }
+}
+
+fn warmth(started: Micros, now: Micros) -> f64 {
+    let age = now.saturating_sub(started).min(COLD.1) as f64 / COLD.1 as f64;
+    if started == 0 {
+        1.0
+    } else {
+        COLD.0 + (1.0 - COLD.0) * age
+    }
+}
+
+/// A stream of numbers for a seed (splitmix64).
+struct Lot(u64);
+
+impl Lot {
+    fn unit(&mut self) -> f64 {
+        self.0 = self.0.wrapping_add(0x9E37_79B9_7F4A_7C15);
+        let mut z = self.0;
+        z = (z ^ (z >> 30)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
+        z = (z ^ (z >> 27)).wrapping_mul(0x94D0_49BB_1331_11EB);
+        ((z ^ (z >> 31)) >> 11) as f64 / (1u64 << 53) as f64
+    }
+
+    fn wait(&mut self, rate: f64) -> Micros {
+        (-(1.0 - self.unit()).ln() / rate * 1e6) as Micros
+    }
+}
+
+#[derive(Clone, Copy, PartialEq)]
+enum Trouble {
+    None,
+    /// One gateway was told that it is the only one.
+    Alone,
+    /// Half of the gateways are killed and start anew while backends are cold.
+    Restarts,
+    /// A plant: the first backends that start are said to have started long ago.
+    Untold,
+}
+
+enum What {
+    Arrive(u64),
+    Settle(usize, u32, RequestId, u16, BackendId),
+    Message(usize, GatewayNo, Vec<u8>),
+    Wake(usize),
+    Start(u64),
+    Restart(usize),
+}
+
+/// Plays a fleet; gives, for each cold backend and each send to it, how many came in the window that ends with it, and what
+/// the rule allows then.
+fn play(gateways: u16, load: f64, seed: u64, trouble: Trouble) -> Vec<(f64, f64)> {
+    let mut lot = Lot(seed);
+    let told = |g: u16| {
+        let alone = trouble == Trouble::Alone && g == 0;
+        settings(if alone { 1 } else { gateways }, if alone { 0 } else { g })
+    };
+    let mut fleet: Vec<Gateway> =
+        (0..gateways).map(|g| Gateway::new(told(g), seed * 1000 + u64::from(g), T0)).collect();
+    let mut lives = vec![0u32; fleet.len()];
+    // Traffic is uneven: some get several times the mean.
+    let weights: Vec<f64> = (0..gateways).map(|_| -(1.0 - lot.unit()).ln() + 0.1).collect();
+    let total: f64 = weights.iter().sum();
+    let rate = BACKENDS as f64 * CAPACITY * load;
+    let mut started: BTreeMap<u64, Micros> = (0..BACKENDS).map(|n| (n, 0)).collect();
+    let mut heap = BinaryHeap::new();
+    let mut events = Vec::new();
+    let push = |heap: &mut BinaryHeap<Reverse<(Micros, usize)>>, events: &mut Vec<Option<What>>, at, what| {
+        events.push(Some(what));
+        heap.push(Reverse((at, events.len() - 1)));
+    };
+    for g in 0..fleet.len() {
+        push(&mut heap, &mut events, T0 + 1000 + g as u64 * 600, What::Wake(g));
+    }
+    push(&mut heap, &mut events, T0 + 30_000, What::Arrive(0));
+    for n in 0..3 {
+        push(&mut heap, &mut events, START + n * 400_000, What::Start(n));
+    }
+    if trouble == Trouble::Restarts {
+        for g in (0..fleet.len()).step_by(2) {
+            push(&mut heap, &mut events, START + S + g as u64 * 20_000, What::Restart(g));
+        }
+    }
+    let mut sent: BTreeMap<u64, Vec<Micros>> = BTreeMap::new();
+    let mut found = Vec::new();
+    let list = |started: &BTreeMap<u64, Micros>| -> Vec<Listed> {
+        started.iter().map(|(n, at)| listed(*n, if trouble == Trouble::Untold { 0 } else { *at })).collect()
+    };
+    for gateway in &mut fleet {
+        gateway.handle(T0, Event::Roster(RosterKind::Full, list(&started)), &mut Vec::new());
+    }
+    while let Some(Reverse((now, n))) = heap.pop() {
+        if now > START + COLD.1 {
+            break;
+        }
+        let Some(what) = events[n].take() else { continue };
+        let (mut act, mut whose) = (Vec::new(), 0);
+        match what {
+            What::Arrive(n) => {
+                let mut at = lot.unit() * total;
+                whose = weights
+                    .iter()
+                    .position(|w| {
+                        at -= w;
+                        at < 0.0
+                    })
+                    .unwrap_or(0);
+                let customer = CustomerId((lot.unit() * 300.0) as u64);
+                let request = Request {
+                    id: RequestId(n),
+                    class: 0,
+                    plan: 0,
+                    customer,
+                    deadline: now + 4 * S,
+                    units: 1.0,
+                    width: f64::from(gateways.min(3)),
+                    first: (customer.0 % u64::from(gateways)) as f64,
+                };
+                fleet[whose].handle(now, Event::Request(request), &mut act);
+                let next = now + lot.wait(rate);
+                push(&mut heap, &mut events, next, What::Arrive(n + 1));
+            }
+            What::Settle(g, life, id, attempt, backend) => {
+                whose = g;
+                if lives[g] == life {
+                    let event = Event::Settled {
+                        id,
+                        attempt,
+                        backend,
+                        outcome: Outcome::Ok,
+                        complete: true,
+                        took: WORK,
+                        metered: None,
+                        charged: None,
+                        report: None,
+                    };
+                    fleet[g].handle(now, event, &mut act);
+                }
+            }
+            What::Message(to, from, bytes) => {
+                whose = to;
+                fleet[to].handle(now, Event::Peer { from, bytes }, &mut act);
+            }
+            What::Wake(g) => {
+                whose = g;
+                fleet[g].handle(now, Event::Timer(0), &mut act);
+                push(&mut heap, &mut events, now + 20_000, What::Wake(g));
+            }
+            What::Start(n) => {
+                started.insert(n, now);
+                let delta = vec![listed(n, if trouble == Trouble::Untold { 0 } else { now })];
+                for (g, gateway) in fleet.iter_mut().enumerate() {
+                    let mut act = Vec::new();
+                    gateway.handle(now, Event::Roster(RosterKind::Delta, delta.clone()), &mut act);
+                    assert!(act.iter().all(|a| !matches!(a, Action::Fail(_))), "{g}");
+                }
+            }
+            What::Restart(g) => {
+                lives[g] += 1;
+                fleet[g] = Gateway::new(told(g as u16), seed * 77 + now, now);
+                fleet[g].handle(now, Event::Roster(RosterKind::Full, list(&started)), &mut act);
+            }
+        }
+        for action in act {
+            match action {
+                Action::Send { id, backend, .. } => {
+                    let at = started[&backend.0];
+                    if at > 0 {
+                        let sends = sent.entry(backend.0).or_default();
+                        sends.push(now);
+                        let recent = sends.iter().rev().take_while(|t| **t + WINDOW > now).count();
+                        // Capacity grows over the window: what it was in the middle, at the least.
+                        let span = WINDOW.min(now - at + 1) as f64 / 1e6;
+                        let middle = now - ((span / 2.0) * 1e6) as Micros;
+                        found.push((
+                            recent as f64,
+                            FACTOR * warmth(at, middle) * CAPACITY * WINDOW as f64 / 1e6,
+                        ));
+                    }
+                    // As fast as a warm one: slowness alone keeps nobody away.
+                    let settle = What::Settle(whose, lives[whose], id, 0, backend);
+                    push(&mut heap, &mut events, now + WORK, settle);
+                }
+                Action::Tell { to: Some(to), bytes } if lot.unit() > 0.05 => {
+                    let at = now + 3_000 + (lot.unit() * 25_000.0) as Micros;
+                    push(
+                        &mut heap,
+                        &mut events,
+                        at,
+                        What::Message(usize::from(to.0), GatewayNo(whose as u16), bytes),
+                    );
+                }
+                _ => {}
+            }
+        }
+    }
+    found
+}
+
+/// The farthest that a window went beyond what is allowed, in multiples of the root of N, after the 2 that go with it.
+fn beyond(found: &[(f64, f64)]) -> f64 {
+    found.iter().map(|(sent, n)| (sent - n - 2.0) / n.sqrt()).fold(f64::MIN, f64::max)
+}
+
+/// Beyond the N that the settings allow only twice its root and two more are put down to chance, whatever the size of the
+/// fleet, with gateways that start anew in the middle, and with one that believes to be alone.
+#[test]
+fn the_ramp_holds_for_the_sum_of_all_gateways() {
+    for gateways in [3, 20, 30] {
+        for trouble in [Trouble::None, Trouble::Alone, Trouble::Restarts] {
+            for seed in 0..20 {
+                let load = 0.5 + 0.35 * (seed % 3) as f64;
+                let found = play(gateways, load, seed, trouble);
+                assert!(found.len() > 20, "{gateways} gateways, seed {seed}: cold backends take part");
+                let worst = beyond(&found);
+                assert!(worst <= 2.0, "{gateways} gateways, seed {seed}, load {load}: {worst} roots beyond");
+            }
+        }
+    }
+}
+
+/// The judge finds a fleet that does not know of starts.
+#[test]
+fn a_fleet_that_is_not_told_goes_beyond_it() {
+    let over = (0..20).filter(|seed| beyond(&play(30, 1.2, *seed, Trouble::Untold)) > 2.0).count();
+    assert!(over > 10, "{over} of 20");
+}
--- a/crates/platform/src/front.rs
+++ b/crates/platform/src/front.rs
@@ -156,7 +156,10 @@
                     }
                 }
                 Turn::Bad(never) => match never {},
-                Turn::Closed => break,
+                Turn::Closed => {
+                    tracing::debug!(open = self.asked.len(), read, "client left");
+                    break;
+                }
             }
             let before = pipe.conn.commands();
             if !self.heard(&mut pipe).await {
--- a/crates/platform/src/ingress.rs
+++ b/crates/platform/src/ingress.rs
@@ -175,13 +175,15 @@
         )));
         // Clients come as soon as it listens: it does so with a list that is not old, if one is to be had at once.
         let patience = runtime.sleep_until(runtime.now() + FIRST_LIST);
-        futures_lite::future::or(
-            async {
-                let _ = listed.recv().await;
-            },
-            patience,
-        )
-        .await;
+        let fresh = async {
+            let _ = listed.recv().await;
+            true
+        };
+        let late = async {
+            patience.await;
+            false
+        };
+        let list = if futures_lite::future::or(fresh, late).await { "discovery's" } else { "known" };
 
         let listener = runtime.listen(config.listen).map_err(|e| bind("listen", config.listen, e))?;
         let address = listener.address();
@@ -206,7 +208,7 @@
         };
         start(Box::pin(gate.clone().watch()));
         start(Box::pin(listen(Resp, door, entrance, listener)));
-        tracing::info!(ingress = config.name, %address, "started");
+        tracing::info!(ingress = config.name, list, %address, "started");
         Ok(Ingress {
             runtime,
             address,
--- a/crates/platform/tests/common/mod.rs
+++ b/crates/platform/tests/common/mod.rs
@@ -207,9 +207,14 @@
 
 impl Client {
     pub fn connect(to: SocketAddr) -> Client {
-        let stream = TcpStream::connect(to).unwrap();
+        Client::try_connect(to).unwrap()
+    }
+
+    /// None where nobody listens.
+    pub fn try_connect(to: SocketAddr) -> Option<Client> {
+        let stream = TcpStream::connect(to).ok()?;
         stream.set_read_timeout(Some(PATIENCE)).unwrap();
-        Client { stream, buffer: BytesMut::new() }
+        Some(Client { stream, buffer: BytesMut::new() })
     }
 
     pub fn send(&mut self, words: &[&str]) {
--- a/crates/platform/tests/machines.rs
+++ b/crates/platform/tests/machines.rs
@@ -2,9 +2,10 @@
 
 use bytes::{Bytes, BytesMut};
 use chalkgap::doors::Answer;
-use chalkgap_core::{BackendId, Outcome, RosterKind};
+use chalkgap_core::{Availability, BackendId, Outcome, RosterKind};
 use chalkgap_pipe::Machine;
 use chalkgap_platform::answer::{take, Budget};
+use chalkgap_platform::ending::Ends;
 use chalkgap_platform::feed::{Feed, FeedError};
 use chalkgap_platform::list::{backend, List, Roster};
 use chalkgap_platform::pool::{Pool, Way};
@@ -307,6 +308,48 @@
     assert_eq!(roster.seq(), 2);
 }
 
+/// An agent that is behind for long looks like discovery that counts anew: what was told to drain, or to be gone, stays away,
+/// unless it has started anew, a list that is new again names it, or a minute has passed.
+#[test]
+fn an_older_list_calls_nobody_back() {
+    let ready = |roster: &mut Roster, now, list: &List| {
+        let (_, lines) = roster.take(now, list).unwrap();
+        let ready = lines.into_iter().filter(|(l, _)| l.availability == Availability::Ready);
+        ready.map(|(l, _)| l.backend).collect::<Vec<_>>()
+    };
+    let held = |roster: &mut Roster| {
+        roster.known(0, &list(40, true, &[("s-1", "ready"), ("s-2", "ready"), ("s-3", "ready")]));
+        let left = ready(roster, 1, &list(41, true, &[("s-1", "ready"), ("s-2", "draining")]));
+        assert_eq!(left, [backend("s-1")], "one drains, one is named no more");
+        assert!(roster.take(2, &list(39, true, &[])).is_err());
+    };
+    let old = [("s-1", "ready"), ("s-2", "ready"), ("s-3", "ready"), ("s-4", "ready")];
+    let mut roster = Roster::new(vec!["a".into()], vec!["k".into()]);
+    held(&mut roster);
+    let at = 3_000_002;
+    assert_eq!(ready(&mut roster, at, &list(39, true, &old)), [backend("s-1"), backend("s-4")]);
+    let mut anew = list(39, true, &old);
+    anew.hosts[1].born_ms += 1;
+    assert_eq!(ready(&mut roster, at, &anew), [backend("s-1"), backend("s-2"), backend("s-4")]);
+    assert_eq!(ready(&mut roster, at, &list(42, true, &old)).len(), 4, "it is not behind any more");
+    let mut roster = Roster::new(vec!["a".into()], vec!["k".into()]);
+    held(&mut roster);
+    assert_eq!(ready(&mut roster, at, &list(39, true, &old)).len(), 2);
+    assert_eq!(ready(&mut roster, at + 60_000_000, &list(39, true, &old)).len(), 4, "discovery counts anew");
+}
+
+/// SIGKILL comes no sooner than the longest deadline, three seconds at most, and 0.7 s after SIGTERM.
+#[test]
+fn the_end_fits_before_the_kill() {
+    for deadline in [300_000, 1_000_000, 3_000_000, 10_000_000u64] {
+        let ends = Ends::within(deadline);
+        let killed = deadline.min(3_000_000) + 700_000;
+        assert!(ends.taken >= 400_000 && ends.taken < ends.overtime, "clients come for 0.4 s");
+        assert!(ends.overtime >= ends.taken + deadline.min(3_000_000), "the last one has its whole time");
+        assert!(ends.overtime + 200_000 <= ends.process && ends.process < killed);
+    }
+}
+
 /// The values that an answer in pieces of `cut` bytes gives, and whether it has ended.
 fn feed(bytes: &[u8], cut: usize) -> Result<(Vec<serde_json::Value>, bool), FeedError> {
     let (mut feed, question) = Feed::ask(at(1), "/api/targets?watch=1&from=7").unwrap();
