Discovery: no changes before a whole list; a registry that counts anew is followed again as before

And a minute after an older list was taken the newer version was still held to be the newest, so that a second agent that is behind would have called back what drains (test fails without it). follow() in discovery.rs, Roster::take in list.rs.

--- a/crates/platform/src/discovery.rs
+++ b/crates/platform/src/discovery.rs
@@ -97,7 +97,7 @@
         let life = async {
             let within = Waits { call: waits.call << slow, asked: waits.asked && !whole, ..waits };
             let error = live(&runtime, &mut roster, address, within, &driver, &mut taken, &first).await;
-            whole = matches!(error, Lost::NotTaken(_));
+            whole = matches!(error, Lost::NotTaken(_)) || !roster.holds();
             slow = if matches!(error, Lost::Slow { .. }) { (slow + 1).min(SLOWER) } else { 0 };
             if !std::mem::replace(&mut told, true) {
                 // Once for each time that it is lost: the calls that fail after it say nothing new.
--- a/crates/platform/src/list.rs
+++ b/crates/platform/src/list.rs
@@ -157,13 +157,13 @@
             }
         }
         (self.seq, self.behind) = (list.seq, None);
-        if list.seq < self.newest {
-            self.older.get_or_insert(now);
+        if list.seq < self.newest && now < *self.older.get_or_insert(now) + STAYS {
+            // Discovery may count anew, or be behind.
         } else {
             (self.newest, self.older) = (list.seq, None);
         }
         let mut lines = self.lines(list);
-        if self.older.is_some_and(|at| now < at + STAYS) {
+        if self.older.is_some() {
             let again = |l: &Listed| self.out.get(&l.backend).is_some_and(|o| o.0 == l.started);
             for (l, _) in lines.iter_mut().filter(|(l, _)| l.availability == Availability::Ready && again(l))
             {
@@ -190,7 +190,8 @@
         }
         // Named no more by a whole list.
         self.out.extend(before.into_iter().map(|(id, started)| (id, (started, now))));
-        self.out.retain(|_, o| now < o.1 + STAYS || self.older.is_some());
+        let older = self.older.is_some();
+        self.out.retain(|_, o| older || now < o.1 + STAYS);
         while self.out.len() > MOST {
             self.out.pop_first();
         }
--- a/crates/platform/tests/discovery.rs
+++ b/crates/platform/tests/discovery.rs
@@ -358,6 +358,26 @@
     });
 }
 
+/// Where no list is held yet, a watch would give the changes to nothing: the whole list is asked for until it is there.
+#[test]
+fn changes_are_not_followed_before_a_whole_list() {
+    let world = World::new(9, BEGIN);
+    let inside = world.clone();
+    let done = world.run(async move {
+        let mut rig = Rig::new(&inside, false, true);
+        {
+            let mut a = rig.agent();
+            (a.deaf, a.seq) = (2, 3);
+        }
+        let input = rig.further(4);
+        rig.input = input;
+        rig.told(3).await;
+        let agent = rig.agent();
+        assert!(agent.wholes >= 3, "{} calls for a whole list", agent.wholes);
+    });
+    assert!(done.is_some(), "it came to its end");
+}
+
 /// Where lists are asked for, discovery takes calls in turn. A fleet that lost its watches together asks once each, waits for
 /// its turn, and is told; calls that are given up and made anew are work for the same service, which it never gets done:
 /// with 0.75 s for a call, and two calls for each, the last of six heard after 7 s and more.
--- a/crates/platform/tests/machines.rs
+++ b/crates/platform/tests/machines.rs
@@ -336,6 +336,11 @@
     held(&mut roster);
     assert_eq!(ready(&mut roster, at, &list(39, true, &old)).len(), 2);
     assert_eq!(ready(&mut roster, at + 60_000_000, &list(39, true, &old)).len(), 4, "discovery counts anew");
+    // From then on it is followed as before, and may be behind again.
+    let at = at + 61_000_000;
+    assert_eq!(ready(&mut roster, at, &list(50, false, &[("s-4", "draining")])), []);
+    assert!(roster.take(at + 1, &list(45, true, &old)).is_err());
+    assert_eq!(ready(&mut roster, at + 3_000_002, &list(45, true, &old)).len(), 3);
 }
 
 /// SIGKILL comes no sooner than the longest deadline, three seconds at most, and 0.7 s after SIGTERM.
