--- a/crates/platform/src/discovery.rs
+++ b/crates/platform/src/discovery.rs
@@ -43,7 +43,7 @@
     /// Calls made during an outage are never answered, and at its end what the agent has counts as told at once: the longest
     /// way is what is left of such a call, and a pause. It takes five eighths at most of the time within which work to a
     /// server that drains must have ended; the rest is for the machine. Three calls that hang, with their pauses, are to fit
-    /// into what [`SILENCE`] leaves of 6 s.
+    /// into what `SILENCE` leaves of 6 s.
     ///
     /// Where lists are asked for, calls wait in turn: to give one up and make another is to be served later, by a service
     /// that has the work of both.
