Tests: the module's tests begin with the same settings and backends

cold_fleet.rs had written the settings, plan, class and backends of control.rs again: they stand in tests/common now, and the fleet's differ in the rule's figures alone.

--- a/crates/core/tests/cold_fleet.rs
+++ b/crates/core/tests/cold_fleet.rs
@@ -2,11 +2,12 @@
 //! what the settings allow and chance excuses.
 
 use chalkgap_core::*;
+use common::{listed, settings, S, T0};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
 
-const T0: Micros = 1_000_000_000;
-const S: Micros = 1_000_000;
+mod common;
+
 const BACKENDS: u64 = 12;
 /// Requests of mean work that a warm backend does in a second.
 const CAPACITY: f64 = 20.0;
@@ -16,69 +17,19 @@
 const COLD: (f64, Micros) = (0.2, 10 * S);
 const START: Micros = T0 + 6 * S;
 
-fn settings(gateways: u16, me: u16) -> Settings {
-    let class = Class {
-        aim: S,
-        aim_stretch: 0.0,
-        deadline: 4 * S,
-        worth: 1.0,
-        late_worth: 0.0,
-        repeat: Repeat::Safe,
-        stream: false,
-    };
-    let plan = Plan {
-        rate: 1e6,
-        burst: 1e6,
-        open_cap: 0,
-        ceiling_rate: 0.0,
-        ceiling_burst: 0.0,
-        ceiling_slack: 0.0,
-        price: 1.0,
-        over_worth: 0.0,
-        over_cost: 1.0,
+fn fleet_settings(gateways: u16, me: u16) -> Settings {
+    let rules = Rules {
+        fall_factor: FACTOR,
+        fall_time: WINDOW,
+        cold_from: COLD.0,
+        cold_time: COLD.1,
+        ..settings().rules
     };
-    Settings {
-        gateways,
-        me: GatewayNo(me),
-        zone: 0,
-        tick: 4_000,
-        classes: vec![class],
-        plans: vec![plan],
-        limits: Limits {
-            max_attempts: 3,
-            second_copies: true,
-            cancel: true,
-            probes: false,
-            peers: true,
-            peer_in_per_s: 60.0,
-            retry_after: true,
-            max_retry_after: 2 * S,
-            counter: false,
-            max_open: 20_000,
-        },
-        rules: Rules {
-            answer_slack: 16_000,
-            drain_grace: 2 * S,
-            cold_from: COLD.0,
-            cold_time: COLD.1,
-            fall_factor: FACTOR,
-            fall_time: WINDOW,
-            must_ask: 10 * S,
-        },
-        ..Settings::default()
-    }
+    Settings { gateways, me: GatewayNo(me), rules, ..settings() }
 }
 
-fn listed(n: u64, started: Micros) -> Listed {
-    Listed {
-        backend: BackendId(n),
-        zone: (n % 2) as u8,
-        cell: (n % 2) as u16,
-        kind: 0,
-        availability: Availability::Ready,
-        size: 1.0,
-        started,
-    }
+fn listed_since(n: u64, started: Micros) -> Listed {
+    Listed { started, ..listed(n) }
 }
 
 fn warmth(started: Micros, now: Micros) -> f64 {
@@ -133,7 +84,7 @@
     let mut lot = Lot(seed);
     let told = |g: u16| {
         let alone = trouble == Trouble::Alone && g == 0;
-        settings(if alone { 1 } else { gateways }, if alone { 0 } else { g })
+        fleet_settings(if alone { 1 } else { gateways }, if alone { 0 } else { g })
     };
     let mut fleet: Vec<Gateway> =
         (0..gateways).map(|g| Gateway::new(told(g), seed * 1000 + u64::from(g), T0)).collect();
@@ -164,7 +115,10 @@
     let mut sent: BTreeMap<u64, Vec<Micros>> = BTreeMap::new();
     let mut found = Vec::new();
     let list = |started: &BTreeMap<u64, Micros>| -> Vec<Listed> {
-        started.iter().map(|(n, at)| listed(*n, if trouble == Trouble::Untold { 0 } else { *at })).collect()
+        started
+            .iter()
+            .map(|(n, at)| listed_since(*n, if trouble == Trouble::Untold { 0 } else { *at }))
+            .collect()
     };
     for gateway in &mut fleet {
         gateway.handle(T0, Event::Roster(RosterKind::Full, list(&started)), &mut Vec::new());
@@ -228,7 +182,7 @@
             }
             What::Start(n) => {
                 started.insert(n, now);
-                let delta = vec![listed(n, if trouble == Trouble::Untold { 0 } else { now })];
+                let delta = vec![listed_since(n, if trouble == Trouble::Untold { 0 } else { now })];
                 for (g, gateway) in fleet.iter_mut().enumerate() {
                     let mut act = Vec::new();
                     gateway.handle(now, Event::Roster(RosterKind::Delta, delta.clone()), &mut act);
