Admission: who lingers lends its descriptor; evicted clients that do not go keep nobody out

Cause: since connections end in order (Pipe::close), an evicted client whose peer holds its side open was waited for, 1 s, and its descriptor with it (front/grpc.rs, the last line of serve). Admission::check refuses everybody while as many leave as are spare, so for a second after a lower limit, or after eight evictions in a row, known clients were refused.

Change: the decider knows lingering connections; they count against no room, and are cut, the longest first, while more are open than clients may have and half of the spare ones (Admission::lingers, wanted; Pass::linger). That takes the place of the platform's 20 ms for those that give way. MQTT waited by a loop of its own and then by Pipe::close, 1.5 s in all, before it gave the session to the next one: now once, 0.5 s. The fronts' way of handing a request over, unless its client leaves first, is one (Pipe::hand_over); gRPC did not look for that.

--- a/crates/admission/src/decide.rs
+++ b/crates/admission/src/decide.rs
@@ -119,7 +119,19 @@
     /// Requests open; at nought it is idle since `since`.
     busy: u32,
     since: Micros,
-    leaving: bool,
+    stage: Stage,
+}
+
+/// How far a connection is on its way out.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Stage {
+    Serving,
+    /// It was told to go.
+    Leaving,
+    /// Its last word is said, and its peer's end is waited for, since `since`.
+    Lingering,
+    /// It is not even waited for any more: its descriptor is wanted.
+    Cut,
 }
 
 /// Memory of answers by address, in microseconds.
@@ -156,7 +168,10 @@
     /// Idle ones that have asked, of all standings.
     done: BTreeSet<(Micros, ConnId)>,
     shaking: u32,
+    /// Those that no longer serve, in any stage; the lingering ones among them by since when, and how many were cut.
     leaving: u64,
+    lingering: BTreeSet<(Micros, ConnId)>,
+    cut: u64,
     words: f64,
     words_at: Micros,
     /// The last event, and the time that this side stood still: deadlines do not run meanwhile.
@@ -184,6 +199,8 @@
             done: BTreeSet::new(),
             shaking: 0,
             leaving: 0,
+            lingering: BTreeSet::new(),
+            cut: 0,
             words_at: 0,
             last: 0,
             still: 0,
@@ -310,9 +327,9 @@
                 return Err((Reason::Prefix, PAUSE));
             }
         }
-        // What is leaving still holds its descriptor: the spare ones bridge that.
-        let bridged =
-            self.open() < self.budget.clients + self.budget.spare && self.leaving < self.budget.spare;
+        // What is leaving still holds its descriptor: the spare ones bridge that. Who lingers is cut for them.
+        let told = self.leaving - self.lingering.len() as u64 - self.cut;
+        let bridged = self.open() < self.budget.clients + self.budget.spare && told < self.budget.spare;
         if bridged && caps.gives_way.is_some_and(|way| self.open() - self.leaving >= way.from) {
             if let Some(victim) = self.nobody_misses(now) {
                 return Ok(Some(victim));
@@ -326,10 +343,7 @@
             };
         }
         // Known clients may use the whole room but that kept above them: idle ones below them make place.
-        if !known
-            || self.open() >= self.budget.clients + self.budget.spare
-            || self.leaving >= self.budget.spare
-        {
+        if !known || !bridged {
             return Err((Reason::Full, PAUSE));
         }
         let below = [Standing::Red, Standing::Unknown];
@@ -361,24 +375,52 @@
         self.count[standing as usize] += 1;
         self.idle[standing as usize].insert((now, id));
         self.silent.insert((now, id));
-        let conn = Conn { address, standing, shaking: true, busy: 0, since: now, leaving: false };
+        let conn = Conn { address, standing, shaking: true, busy: 0, since: now, stage: Stage::Serving };
         self.conns.insert(id, conn);
     }
 
     /// Marks a connection that was told to go.
     fn leave(&mut self, id: ConnId) {
-        let Some(c) = self.conns.get_mut(&id).filter(|c| !c.leaving) else { return };
-        c.leaving = true;
+        let Some(c) = self.conns.get_mut(&id).filter(|c| c.stage == Stage::Serving) else { return };
+        c.stage = Stage::Leaving;
         self.leaving += 1;
         self.idle[c.standing as usize].remove(&(c.since, id));
         self.silent.remove(&(c.since, id));
         self.done.remove(&(c.since, id));
     }
 
+    /// A connection's last word is said: nothing is left but to wait for its peer's end, so that no reset takes that word
+    /// back. It lends its descriptor for that, see [`Admission::wanted`].
+    pub fn lingers(&mut self, now: Micros, id: ConnId) {
+        self.own_time(now);
+        self.leave(id);
+        if let Some(c) = self.conns.get_mut(&id).filter(|c| c.stage == Stage::Leaving) {
+            c.stage = Stage::Lingering;
+            c.since = now;
+            self.lingering.insert((now, id));
+        }
+    }
+
+    /// Those that are to linger no longer, as what they hold is wanted: the longest first, until half of the spare
+    /// descriptors is free to bridge evictions with.
+    pub fn wanted(&mut self) -> Vec<ConnId> {
+        let most = self.budget.clients + self.budget.spare / 2;
+        let over = (self.open() - self.cut).saturating_sub(most);
+        let list: Vec<ConnId> =
+            std::iter::from_fn(|| self.lingering.pop_first()).take(over as usize).map(|(_, id)| id).collect();
+        for id in &list {
+            if let Some(c) = self.conns.get_mut(id) {
+                c.stage = Stage::Cut;
+                self.cut += 1;
+            }
+        }
+        list
+    }
+
     /// One that was to be evicted has a request after all, or is sending one, and stays. It is asked last from now on.
     pub fn stays(&mut self, now: Micros, id: ConnId) {
-        if let Some(c) = self.conns.get_mut(&id).filter(|c| c.leaving) {
-            c.leaving = false;
+        if let Some(c) = self.conns.get_mut(&id).filter(|c| c.stage == Stage::Leaving) {
+            c.stage = Stage::Serving;
             self.leaving -= 1;
             if c.busy == 0 {
                 c.since = now;
@@ -421,12 +463,10 @@
         let Some(c) = self.conns.get_mut(&id) else { return };
         c.busy = c.busy.saturating_sub(1);
         let (address, standing) = (c.address, c.standing);
-        if c.busy == 0 {
+        if c.busy == 0 && c.stage == Stage::Serving {
             c.since = now;
-            if !c.leaving {
-                self.idle[standing as usize].insert((now, id));
-                self.done.insert((now, id));
-            }
+            self.idle[standing as usize].insert((now, id));
+            self.done.insert((now, id));
         }
         if let Some(p) = self.places.get_mut(&address) {
             let keep = (-(now.saturating_sub(p.judged) as f64) / FADE).exp();
@@ -460,7 +500,9 @@
         self.own_time(now);
         self.handshaken(now, id);
         let Some(c) = self.conns.remove(&id) else { return };
-        self.leaving -= u64::from(c.leaving);
+        self.leaving -= u64::from(c.stage != Stage::Serving);
+        self.cut -= u64::from(c.stage == Stage::Cut);
+        self.lingering.remove(&(c.since, id));
         self.count[c.standing as usize] -= 1;
         self.idle[c.standing as usize].remove(&(c.since, id));
         self.done.remove(&(c.since, id));
--- a/crates/admission/tests/decider.rs
+++ b/crates/admission/tests/decider.rs
@@ -337,6 +337,46 @@
     assert_eq!(reason(open(&mut a, T0, 100, named)), Some(Reason::Full));
 }
 
+/// Peers that were told to go and keep their side open: seen where a lower limit was in force for a second before the first
+/// known client got in, as each evicted connection was waited for that long.
+#[test]
+fn who_lingers_lends_its_descriptor_and_keeps_nobody_out() {
+    let named = |n: u32| IpAddr::from(Ipv4Addr::from(0x0a09_0000 + (n << 8)));
+    let mut a = decider();
+    for n in 0..70 {
+        open(&mut a, T0 + n, n, far(n as u32));
+    }
+    let evicted = a.rebudget(T0 + S, Budget { clients: 50, nodes: 10, spare: 8 });
+    assert_eq!(evicted.len(), 20);
+    // Each is cut as soon as it lingers while more are open than clients may have and half of the spare ones; those that
+    // follow may linger, and the longest goes first.
+    let (mut cut, mut lingering) = (Vec::new(), Vec::new());
+    for (n, id) in (0..).zip(&evicted) {
+        a.lingers(T0 + S + n, *id);
+        lingering.push(*id);
+        let wanted = a.wanted();
+        assert_eq!(wanted, lingering.drain(..wanted.len()).collect::<Vec<_>>());
+        cut.extend(wanted);
+    }
+    assert_eq!((cut.len(), lingering.len()), (16, 4));
+    // A connection that serves cannot be taken for one that lingers, and one that was cut is cut once.
+    assert_eq!(a.wanted(), []);
+    a.stays(T0 + S, lingering[0]);
+    cut.iter().for_each(|id| a.closed(T0 + 2 * S, *id));
+    // Known clients come in at once, more of them than are spare. Each time one that lingers, or the one that goes for it,
+    // gives up its descriptor: never more are open than there are.
+    for n in 0..20 {
+        let now = T0 + 2 * S + u64::from(n);
+        let offer = open(&mut a, now, 1000 + u64::from(n), named(n));
+        let Offer::Accept { evict: Some(victim) } = offer else { panic!("known client {n}: {offer:?}") };
+        a.lingers(now, victim);
+        for id in a.wanted() {
+            a.closed(now, id);
+        }
+        assert!(a.open_by_standing().iter().sum::<u64>() <= 54, "{:?}", a.open_by_standing());
+    }
+}
+
 #[test]
 fn our_own_pause_is_nobodys_delay() {
     let mut a = decider();
--- a/crates/cli/tests/descriptors.rs
+++ b/crates/cli/tests/descriptors.rs
@@ -8,6 +8,8 @@
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
 use std::process::{Child, Command, Stdio};
+use std::sync::mpsc::Receiver;
+use std::time::Duration;
 
 const SETTINGS: &str = r#"
 settings = {
@@ -23,7 +25,15 @@
 }
 "#;
 
-struct Daemon(Child, SocketAddr);
+/// A process, its address, and a word each time that it has seen another limit.
+struct Daemon(Child, SocketAddr, Receiver<()>);
+
+impl Daemon {
+    /// Waits until it has seen another limit: it looks each second.
+    fn sees(&self) {
+        self.2.recv_timeout(Duration::from_secs(10)).expect("another limit is seen");
+    }
+}
 
 impl Drop for Daemon {
     fn drop(&mut self) {
@@ -36,7 +46,7 @@
     let script = folder.join("settings.star");
     std::fs::write(&script, SETTINGS).unwrap();
     let list = format!("list={}", folder.join("list.json").display());
-    let shell = format!("ulimit -n {limit}; exec \"$0\" --log-filter error serve \"$1\" --set \"$2\"");
+    let shell = format!("ulimit -n {limit}; exec \"$0\" --log-filter warn serve \"$1\" --set \"$2\"");
     let mut child = Command::new("sh")
         .args(["-c", &shell, env!("CARGO_BIN_EXE_chalkgap")])
         .arg(script)
@@ -48,7 +58,16 @@
     match BufReader::new(child.stdout.take().unwrap()).lines().next() {
         Some(Ok(line)) => {
             let value: serde_json::Value = serde_json::from_str(&line).unwrap();
-            Ok(Daemon(child, value["grpc"].as_str().unwrap().parse().unwrap()))
+            let (log, (tell, told)) =
+                (BufReader::new(child.stderr.take().unwrap()), std::sync::mpsc::channel());
+            std::thread::spawn(move || {
+                for line in log.lines().map_while(Result::ok) {
+                    if line.contains("the limit of descriptors changed") {
+                        let _ = tell.send(()); // the test is over
+                    }
+                }
+            });
+            Ok(Daemon(child, value["grpc"].as_str().unwrap().parse().unwrap(), told))
         }
         _ => {
             let out = child.wait_with_output().unwrap();
@@ -107,11 +126,12 @@
         let (task, seen) = flood::start(&runtime, plan);
         runtime.sleep_until(runtime.now() + 1_000_000).await; // the room of unknown ones is taken
         assert_eq!(known(&runtime, to, 60).await, 60, "under the flood");
-        // Lowered while it runs: a second later clients have fifty, and idle ones went for it.
+        // Lowered while it runs: as soon as that is seen clients have fifty, and idle ones went for it. They hold their side
+        // open, as long as the flood lasts: nobody may wait for that.
         let pid = Pid::from_child(&daemon.0);
         let limit = |n| Rlimit { current: Some(n), maximum: Some(140) };
         prlimit(Some(pid), Resource::Nofile, limit(100)).unwrap();
-        runtime.sleep_until(runtime.now() + 1_200_000).await;
+        daemon.sees();
         assert_eq!(known(&runtime, to, 30).await, 30, "with a lower limit");
         task.await;
         let seen = seen.lock().unwrap().clone();
@@ -119,10 +139,10 @@
         assert_eq!(seen.hanging, 0, "every one of them got in or was refused");
         // Below what is set aside, nobody new gets in, and all are told at once; raised again, they do.
         prlimit(Some(pid), Resource::Nofile, limit(40)).unwrap();
-        runtime.sleep_until(runtime.now() + 1_200_000).await;
+        daemon.sees();
         assert_ne!(knock(&runtime, None, to).await.0, Knock::Hanging);
         prlimit(Some(pid), Resource::Nofile, limit(140)).unwrap();
-        runtime.sleep_until(runtime.now() + 1_500_000).await;
+        daemon.sees();
         assert_eq!(known(&runtime, to, 5).await, 5, "raised again");
     });
     drop(daemon);
--- a/crates/gateway/src/front/grpc.rs
+++ b/crates/gateway/src/front/grpc.rs
@@ -24,6 +24,9 @@
 const MOST_DESCRIPTORS: usize = 64;
 const MOST_ENTRIES: usize = 64;
 
+/// How long a client whose connection ends may take to close its side.
+const LINGER: Micros = 1_000_000;
+
 /// The gRPC front.
 #[derive(Clone)]
 pub(crate) struct Grpc;
@@ -170,7 +173,7 @@
         }
     }
     s.leave().await;
-    pipe.close(runtime.now() + 1_000_000).await;
+    s.pass.linger(pipe.close(runtime.now() + LINGER)).await;
 }
 
 impl Session {
@@ -285,8 +288,8 @@
                         Ok(Some(ask)) => {
                             self.unheard += 1;
                             self.pass.request();
-                            if self.door.driver.send(Input::Ask(ask)).await.is_err() {
-                                return; // the instance has stopped
+                            if pipe.hand_over(&self.door.driver, Input::Ask(ask)).await != Some(true) {
+                                return; // the client has left, or the instance has stopped
                             }
                         }
                         Ok(None) => {}
--- a/crates/gateway/src/front/mqtt.rs
+++ b/crates/gateway/src/front/mqtt.rs
@@ -691,28 +691,13 @@
             }
         }
         let mut session = pipe.conn.take_session();
-        // Closed with bytes unread, the last word would be lost on its way: what still comes is read, and passed over.
-        let (end, mut late) = (runtime.now() + LINGER, Vec::new());
-        while pipe.conn.closed() && !self.gone {
-            match pipe.turn(Some(end), true).await {
-                Turn::Command(r) => late.push(r),
-                Turn::Read => {}
-                _ => break,
-            }
-        }
-        pipe.close(runtime.now() + 1_000_000).await;
+        self.pass.linger(pipe.close(runtime.now() + LINGER)).await;
         if self.client.is_empty() {
             return; // it was never let in
         }
         // Whoever comes meanwhile waits for it a while: each request has its answer by its deadline.
         while !self.waiting.is_empty() {
-            let r = match late.pop() {
-                Some(r) => r,
-                None => match replies.recv().await {
-                    Ok(r) => r,
-                    Err(_) => break,
-                },
-            };
+            let Ok(r) = replies.recv().await else { break };
             let Some(w) = self.known(&r) else { continue };
             let (code, _, properties, _) = said(r.answer);
             if w.qos == QoS::ExactlyOnce {
--- a/crates/gateway/src/gate.rs
+++ b/crates/gateway/src/gate.rs
@@ -9,7 +9,9 @@
 use chalkgap_admission::pulse::Pulse;
 use chalkgap_admission::{Admission, Block, Budget, BudgetError, Caps, ConnId, Known, Offer, Reason, Split};
 use chalkgap_runtime::{Micros, Shared};
+use futures_lite::future;
 use std::collections::HashMap;
+use std::future::Future;
 use std::net::IpAddr;
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -27,6 +29,8 @@
     pulse: Pulse,
     /// Dropped to tell a connection that it is to go, or that the drain begins.
     signals: HashMap<ConnId, Sender<()>>,
+    /// Dropped to tell one whose peer's end is waited for that it is waited for no longer.
+    lingering: HashMap<ConnId, Sender<()>>,
     draining: bool,
     next: u64,
     /// Refusals since the last log line, and when that was.
@@ -151,6 +155,7 @@
             decider,
             pulse: Pulse::new(runtime.now(), TICK),
             signals: HashMap::new(),
+            lingering: HashMap::new(),
             draining: false,
             next: 1,
             unsaid: [0; 5],
@@ -190,6 +195,7 @@
                 if !s.draining {
                     s.signals.insert(id, signal); // else it is told at once
                 }
+                s.cut();
                 Ok(Pass { gate: self.clone(), id, signal: receiver })
             }
             Offer::Refuse { reason, word, pause } => {
@@ -297,6 +303,16 @@
             add(&self.telemetry.connections_evicted);
             s.signals.remove(&id);
         }
+        s.cut();
+    }
+}
+
+impl State {
+    /// Ends the lingering of those whose descriptors are wanted.
+    fn cut(&mut self) {
+        for id in self.decider.wanted() {
+            self.lingering.remove(&id);
+        }
     }
 }
 
@@ -357,6 +373,22 @@
         receiver
     }
 
+    /// Sees a connection's end through: what is left to say, then the peer's end. Where others want its descriptor, what
+    /// can be done at once is done, and it is closed.
+    pub async fn linger(&self, end: impl Future<Output = ()>) {
+        let (kept, wanted) = async_channel::bounded::<()>(1);
+        {
+            let mut s = self.gate.state();
+            s.decider.lingers(self.gate.runtime.now(), self.id);
+            s.lingering.insert(self.id, kept);
+            s.cut();
+        }
+        let wanted = async {
+            let _ = wanted.recv().await; // nothing is ever sent: it ends when the sender is gone
+        };
+        future::or(end, wanted).await;
+    }
+
     /// What counts as too slow.
     pub fn pace(&self) -> Pace {
         self.gate.pace
@@ -369,5 +401,6 @@
         let mut s = self.gate.state();
         s.decider.closed(now, self.id);
         s.signals.remove(&self.id);
+        s.lingering.remove(&self.id);
     }
 }
--- a/crates/gateway/tests/admission.rs
+++ b/crates/gateway/tests/admission.rs
@@ -83,6 +83,27 @@
     });
 }
 
+/// Those that go for known clients never close their side: more of them than descriptors are spare, one after the other at
+/// once, and nobody waits for them.
+#[test]
+fn nobody_is_kept_out_by_evicted_clients_that_do_not_go() {
+    let mut settings = settings();
+    settings.front.max_connections = 60;
+    (settings.admission.reserve, settings.admission.preferred) = (0.25, 0.0);
+    (settings.admission.per_second, settings.descriptors.spare) = (1000.0, 4);
+    run(|system| async move {
+        let s = Small::start(system.clone(), settings, vec![Machine::default()]).await;
+        let to = s.ingress.grpc_address();
+        assert_eq!(s.client.call(&ask(0, "big", "sig-check")).await.answer, Answer::Served);
+        let (held, _) = knocks(&s.runtime, |n| Some(flood::address(n)), to, 60).await;
+        assert_eq!(held.len(), 44);
+        let (mine, refused) = knocks(&s.runtime, |_| None, to, 45).await;
+        assert_eq!((mine.len(), refused), (45, vec![]));
+        assert!(s.ingress.counts().connections_evicted >= 28, "{:?}", s.ingress.counts());
+        drop((held, mine));
+    });
+}
+
 /// Reads until the server ends the connection; how long that took in ms.
 async fn ended(runtime: &Shared, mut stream: Box<dyn Stream>, trickle: &[u8], every_ms: u64) -> u64 {
     let begun = runtime.now();
--- a/crates/gateway/tests/mqtt.rs
+++ b/crates/gateway/tests/mqtt.rs
@@ -326,6 +326,42 @@
     });
 }
 
+/// The word that ends a connection reaches its client in order, whatever lies unread behind what broke the form.
+#[test]
+fn the_last_word_survives_unread_bytes() {
+    run(|system| async move {
+        let s = start(system).await;
+        let (mut h, _) = Hand::open(&s, hello(Version::V5, "c")).await;
+        let bytes = [&[0xf0, 0x83, 0x80, 0x03][..], &[0; 60_000]].concat(); // AUTH, which nobody asked for
+        h.stream.write_all(&bytes).await.unwrap();
+        let mut all = Vec::new();
+        h.stream.read_to_end(&mut all).await.expect("an end in order, and no reset");
+        assert!(
+            matches!(
+                decode(&mut all[..].into(), Some(Version::V5), 1 << 20),
+                Ok(Some(Packet::Disconnect(_)))
+            ),
+            "{all:?}"
+        );
+    });
+}
+
+/// A client that is pushed out, and neither reads nor goes, keeps nobody waiting for its session beyond the time that it has.
+#[test]
+fn who_is_taken_over_and_does_not_go_keeps_nobody_waiting() {
+    run(|system| async move {
+        let s = start(system).await;
+        let (old, _) = Hand::open(&s, hello(Version::V5, "same")).await;
+        let begun = s.runtime.now();
+        let (mut new, first) = Hand::open(&s, hello(Version::V5, "same")).await;
+        assert!(matches!(first, Packet::ConnAck(ConnAck { code: SUCCESS, .. })), "{first:?}");
+        assert!(s.runtime.now() - begun < 900_000, "after {} us", s.runtime.now() - begun);
+        new.send(&Packet::Publish(publish(BIG, QoS::AtLeastOnce, 1, 9))).await;
+        assert!(matches!(new.next().await, Some(Packet::PubAck(_))));
+        drop(old);
+    });
+}
+
 #[test]
 fn a_will_is_a_request_and_a_drain_is_told() {
     run(|system| async move {
--- a/crates/pipe/src/lib.rs
+++ b/crates/pipe/src/lib.rs
@@ -3,7 +3,7 @@
 
 pub mod unary;
 
-use async_channel::Receiver;
+use async_channel::{Receiver, Sender, TrySendError};
 use bytes::{Buf, BytesMut};
 use chalkgap_runtime::{Alarm, Micros, Shared, Stream};
 use chalkgap_wire::http2::{ConnError, Connection};
@@ -144,11 +144,23 @@
         self.commands.try_recv().ok()
     }
 
-    /// Ends when the peer has left, without taking bytes.
-    pub async fn left(&mut self) {
-        while !self.stream.left() {
-            self.runtime.sleep_until(self.runtime.now() + LOOK).await;
-        }
+    /// Hands something over, as soon as there is room for it: whether it was taken, or none where the peer left before.
+    /// Nothing is read meanwhile, so leaving is looked for.
+    pub async fn hand_over<T>(&mut self, to: &Sender<T>, what: T) -> Option<bool> {
+        let what = match to.try_send(what) {
+            Ok(()) => return Some(true),
+            Err(TrySendError::Closed(_)) => return Some(false),
+            Err(TrySendError::Full(what)) => what,
+        };
+        let sent = async { Some(to.send(what).await.is_ok()) };
+        let (runtime, stream) = (&self.runtime, &mut self.stream);
+        let left = async move {
+            while !stream.left() {
+                runtime.sleep_until(runtime.now() + LOOK).await;
+            }
+            None
+        };
+        future::or(sent, left).await
     }
 
     /// Writes what is to be written, then waits for something to happen. `read`: bytes may be taken. A peer that leaves is
--- a/crates/platform/src/front.rs
+++ b/crates/platform/src/front.rs
@@ -2,7 +2,7 @@
 
 use crate::request::{Grammar, Request, Work};
 use crate::session::{Heard, Session, MOST_OPEN};
-use async_channel::{Sender, TrySendError};
+use async_channel::Sender;
 use chalkgap::doors::{Answer, Ask, Customer, Front, Input, Pass, Reply};
 use chalkgap::telemetry::{add, Telemetry};
 use chalkgap_core::{CustomerId, RequestId};
@@ -22,8 +22,6 @@
 const UNREAD: Micros = 10_000_000;
 /// How long a client that is told to go may take to close.
 const LINGER: Micros = 300_000;
-/// The same for one that gives way to another: its last answer left long before, and its place is wanted.
-const GIVES_WAY: Micros = 20_000;
 /// For the way back: an answer has to be with the client by its deadline.
 const MARGIN: Micros = 4_000;
 
@@ -110,7 +108,6 @@
 
 impl Client {
     async fn serve(mut self, mut pipe: ClientPipe) {
-        let mut linger = LINGER;
         loop {
             let overtime = Some(self.door.overtime.load(Ordering::Relaxed)).filter(|o| *o > 0);
             let silent = (pipe.conn.commands() == 0 && !pipe.conn.stopped()).then_some(self.began + PATIENCE);
@@ -135,7 +132,6 @@
                         self.closing = Some(now);
                         pipe.conn.close();
                     } else if pipe.conn.idle() && !sending {
-                        linger = GIVES_WAY;
                         pipe.conn.stop();
                     } else {
                         pipe.watch(self.pass.stays());
@@ -176,8 +172,8 @@
                 false => None,
             };
             if pipe.conn.over() {
-                let until = self.door.runtime.now() + linger;
-                pipe.close(until).await;
+                let until = self.door.runtime.now() + LINGER;
+                self.pass.linger(pipe.close(until)).await;
                 break;
             }
         }
@@ -193,19 +189,7 @@
             let id = request.id;
             let ask = self.door.ask(token, request, self.reply.clone());
             self.asked.insert(token, (ask.id, id));
-            // Where the driver has no room for it, it is handed over later, unless its client leaves before.
-            let sent = match self.door.driver.try_send(Input::Ask(Box::new(ask))) {
-                Err(TrySendError::Full(ask)) => {
-                    let sent = async { Some(self.door.driver.send(ask).await.is_ok()) };
-                    let left = async {
-                        pipe.left().await;
-                        None
-                    };
-                    future::or(sent, left).await
-                }
-                sent => Some(sent.is_ok()),
-            };
-            match sent {
+            match pipe.hand_over(&self.door.driver, Input::Ask(Box::new(ask))).await {
                 Some(true) => {}
                 Some(false) => pipe.conn.stop(), // the instance has stopped
                 None => return false,
