--- a/crates/gateway/tests/hard_cases.rs
+++ b/crates/gateway/tests/hard_cases.rs
@@ -195,6 +195,57 @@
     });
 }
 
+/// The word that ends a connection (GOAWAY) reaches its client in order, whatever lies unread behind what broke the form: a
+/// close over unread bytes would be a reset, which takes it back.
+#[test]
+fn the_last_word_survives_unread_bytes() {
+    run(|system| async move {
+        let s = Small::start(system, settings(), vec![Machine::default()]).await;
+        let mut stream = s.runtime.connect(s.ingress.grpc_address()).await.unwrap();
+        // A frame longer than any may be, and what would be in it.
+        let bytes = [&PREFACE[..], &[0, 0, 0, 4, 0, 0, 0, 0, 0], &[0xff; 9], &[0; 60_000]].concat();
+        stream.write_all(&bytes).await.unwrap();
+        let mut all = Vec::new();
+        stream.read_to_end(&mut all).await.expect("an end in order, and no reset");
+        let mut conn = Connection::client(Config::default());
+        conn.receive(0, &all).unwrap();
+        let events: Vec<Event> = std::iter::from_fn(|| conn.event()).collect();
+        assert!(events.iter().any(|e| matches!(e, Event::GoAway(c) if *c != Code::NO_ERROR)), "{events:?}");
+    });
+}
+
+/// A request that crosses the drain's first GOAWAY was sent in good faith: it is answered like the one that was open, and then
+/// the connection ends.
+#[test]
+fn a_call_that_crosses_the_drain_is_answered() {
+    run(|system| async move {
+        let mut s = Small::start(system, settings(), vec![slow(300.0)]).await;
+        let mut hand = Hand::connect(&s.runtime, s.ingress.grpc_address()).await;
+        let first = hand.open(Some("3S"));
+        hand.conn.data(first, Hand::message("1", "big", "sig-check"), true).unwrap();
+        assert!(!hand.until(100, over(first)).await);
+        // Written before the client reads of the drain, and read by the ingress after it has begun.
+        let second = hand.open(Some("3S"));
+        hand.conn.data(second, Hand::message("2", "big", "sig-check"), true).unwrap();
+        let end = s.runtime.now() + 3_000_000;
+        let drained = s.ingress.drain(end);
+        let crossing = async {
+            pause(&hand.runtime, 100).await;
+            assert!(hand.until(2000, over(first)).await && hand.until(2000, over(second)).await);
+            let mut byte = [0];
+            let _ = hand.write().await;
+            assert!(!hand.until(2000, |_| false).await, "it ends");
+            assert!(matches!(hand.stream.read(&mut byte).await, Ok(0)), "in order");
+        };
+        let (whole, ()) = future::zip(drained, crossing).await;
+        assert!(whole, "all have gone");
+        let ran = |call: u64| {
+            s.journal.entries().iter().any(|e| matches!(e.1, Seen::Ran { call: c, .. } if c == call))
+        };
+        assert!(ran(1) && ran(2));
+    });
+}
+
 #[test]
 fn a_connection_that_never_greets_is_closed() {
     let mut settings = settings();
--- a/crates/wire/src/http2/conn.rs
+++ b/crates/wire/src/http2/conn.rs
@@ -312,7 +312,9 @@
     }
 
     /// Drained to the end: no stream is open and none will be.
-    pub fn finished(&self) -> bool {
+    pub fn finished(&mut self) -> bool {
+        // What only waits to be handed over is no reason to go on: nothing more would come to wake anybody.
+        self.pump();
         self.streams.is_empty() && (self.draining || self.leaving || self.ended.is_some())
     }
 
