--- a/crates/gateway/src/front/grpc.rs
+++ b/crates/gateway/src/front/grpc.rs
@@ -1,7 +1,7 @@
 //! The public gRPC rate limit service (`envoy.service.ratelimit.v3.RateLimitService`) and its health check.
 
-use super::{Bad, Demand, Door, Front, WORD};
-use crate::gate::Pass;
+use super::{Bad, Demand, Front, FrontContext, WORD};
+use crate::gate::Permit;
 use crate::messages::{Answer, Ask, Input, Reply};
 use crate::telemetry::add;
 use async_channel::Sender;
@@ -32,10 +32,15 @@
 pub(crate) struct Grpc;
 
 impl Front for Grpc {
-    type Door = Door;
+    type Context = FrontContext;
 
-    fn serve(&self, door: Door, stream: Box<dyn Stream>, pass: Pass) -> BoxFuture<'static, ()> {
-        Box::pin(serve(door, stream, pass))
+    fn serve(
+        &self,
+        context: FrontContext,
+        stream: Box<dyn Stream>,
+        permit: Permit,
+    ) -> BoxFuture<'static, ()> {
+        Box::pin(serve(context, stream, permit))
     }
 
     fn refuse(&self, runtime: Shared, stream: Box<dyn Stream>, pause: Micros) -> BoxFuture<'static, ()> {
@@ -77,8 +82,8 @@
 }
 
 struct Session {
-    door: Door,
-    pass: Pass,
+    context: FrontContext,
+    permit: Permit,
     calls: HashMap<u32, Call>,
     /// Asks that the driver has not said its one word about: bounded, that word's channel always has room.
     unheard: usize,
@@ -97,19 +102,19 @@
 }
 
 /// Serves one connection to its end.
-async fn serve(door: Door, stream: Box<dyn Stream>, pass: Pass) {
-    let front = &door.settings.settings.front;
+async fn serve(context: FrontContext, stream: Box<dyn Stream>, permit: Permit) {
+    let front = &context.settings.settings.front;
     let (most, peer) = (2 * front.max_streams as usize, stream.peer());
     let config = Config { max_streams: front.max_streams, ..Config::default() };
     // As many as `unheard` allows, below: room made beforehand would cost an idle connection its hundreds of KiB.
     let (reply, replies) = async_channel::unbounded();
-    let runtime = door.runtime.clone();
-    let begun = pass.own_time();
+    let runtime = context.runtime.clone();
+    let begun = permit.own_time();
     let mut pipe =
-        Pipe::new(runtime.clone(), stream, Connection::server(config), replies, pass.signal.clone());
+        Pipe::new(runtime.clone(), stream, Connection::server(config), replies, permit.signal.clone());
     let mut s = Session {
-        door,
-        pass,
+        context,
+        permit,
         calls: HashMap::new(),
         unheard: 0,
         reply,
@@ -136,16 +141,16 @@
                 if let Some(what) = s.too_slow(&mut pipe, begun) {
                     let code = chalkgap_wire::http2::Code::ENHANCE_YOUR_CALM;
                     pipe.conn.abort(ConnError { code, what });
-                    add(&s.door.telemetry.too_slow);
-                    add(&s.door.telemetry.connections_bad);
+                    add(&s.context.telemetry.too_slow);
+                    add(&s.context.telemetry.connections_bad);
                     break;
                 }
             }
             Turn::Signal => {
-                let draining = s.pass.draining();
+                let draining = s.permit.draining();
                 if !draining && !s.calls.is_empty() {
                     // To be evicted, but a request was taken meanwhile.
-                    let signal = s.pass.stays();
+                    let signal = s.permit.stays();
                     pipe.watch(signal);
                 } else {
                     s.draining = true;
@@ -157,7 +162,7 @@
                 }
             }
             Turn::Bad(e) => {
-                add(&s.door.telemetry.connections_bad);
+                add(&s.context.telemetry.connections_bad);
                 tracing::debug!(%peer, error = %e, "client's connection given up");
                 break;
             }
@@ -166,25 +171,25 @@
         s.events(&mut pipe).await;
         if !greeted && pipe.conn.greeted() {
             greeted = true;
-            s.pass.handshaken();
+            s.permit.handshaken();
         }
         if pipe.conn.finished() {
             break;
         }
     }
     s.leave().await;
-    s.pass.linger(pipe.close(runtime.now() + LINGER)).await;
+    s.permit.linger(pipe.close(runtime.now() + LINGER)).await;
 }
 
 impl Session {
     /// The client's time, about: without this side's pauses as far as they were known when last asked.
     fn time(&self) -> Micros {
-        self.door.runtime.now().saturating_sub(self.still)
+        self.context.runtime.now().saturating_sub(self.still)
     }
 
     /// When something here may have become too slow, at the latest.
     fn until(&mut self, pipe: &Pipe<Reply>, begun: Micros) -> Micros {
-        let (pace, received, now) = (self.pass.pace(), pipe.conn.received(), self.time());
+        let (pace, received, now) = (self.permit.pace(), pipe.conn.received(), self.time());
         if !pipe.conn.midway() {
             self.midway = None;
         } else if self.midway.is_none() {
@@ -198,7 +203,7 @@
         let greet = (!pipe.conn.greeted()).then_some(begun + pace.patience);
         let midway = self.midway.map(|(since, from)| pace.until(since, received - from));
         let unread = self.unread.map(|(_, since, written)| pace.until(since, written));
-        let idle = self.idle_since + self.door.settings.settings.admission.idle_ms * 1000;
+        let idle = self.idle_since + self.context.settings.settings.admission.idle_ms * 1000;
         let idle = self.calls.is_empty().then_some(idle);
         let next = [greet, midway, unread, self.look, idle].into_iter().flatten().min();
         // Not too soon again where a pause was found in between.
@@ -207,8 +212,8 @@
 
     /// Gives up what is too slow by now; says why, where that is the connection. What has come was read before.
     fn too_slow(&mut self, pipe: &mut Pipe<Reply>, begun: Micros) -> Option<&'static str> {
-        let (pace, now, received) = (self.pass.pace(), self.pass.own_time(), pipe.conn.received());
-        self.still = self.door.runtime.now().saturating_sub(now);
+        let (pace, now, received) = (self.permit.pace(), self.permit.own_time(), pipe.conn.received());
+        self.still = self.context.runtime.now().saturating_sub(now);
         if !pipe.conn.greeted() && now >= begun + pace.patience {
             return Some("no SETTINGS in time");
         }
@@ -218,7 +223,7 @@
         if self.unread.is_some_and(|(_, since, written)| pace.too_slow(now, since, written)) {
             return Some("answers lie unread");
         }
-        let idle = self.door.settings.settings.admission.idle_ms * 1000;
+        let idle = self.context.settings.settings.admission.idle_ms * 1000;
         if self.calls.is_empty() && now >= self.idle_since + idle {
             if std::mem::replace(&mut self.told_idle, true) {
                 return Some("idle, and did not go when it was told to");
@@ -240,7 +245,7 @@
         }
         late.sort_unstable();
         for stream in late {
-            add(&self.door.telemetry.too_slow);
+            add(&self.context.telemetry.too_slow);
             let text = "the message came too slowly: it was not taken";
             self.invalid(stream, &Status::new(Code::DeadlineExceeded, text), pipe);
         }
@@ -251,7 +256,7 @@
     async fn leave(&mut self) {
         for call in std::mem::take(&mut self.calls).into_values() {
             if let Call::Waiting { id, .. } = call {
-                let _ = self.door.driver.send(Input::Gone(id)).await; // closed: the instance has stopped
+                let _ = self.context.driver.send(Input::Gone(id)).await; // closed: the instance has stopped
             }
         }
     }
@@ -287,8 +292,8 @@
                     match asked {
                         Ok(Some(ask)) => {
                             self.unheard += 1;
-                            self.pass.request();
-                            if pipe.hand_over(&self.door.driver, Input::Ask(ask)).await != Some(true) {
+                            self.permit.request();
+                            if pipe.hand_over(&self.context.driver, Input::Ask(ask)).await != Some(true) {
                                 return; // the client has left, or the instance has stopped
                             }
                         }
@@ -298,7 +303,8 @@
                 }
                 Event::Reset { stream, .. } => {
                     if let Some(Call::Waiting { id, .. }) = self.calls.remove(&stream) {
-                        let _ = self.door.driver.send(Input::Gone(id)).await; // closed: the instance has stopped
+                        let _ = self.context.driver.send(Input::Gone(id)).await;
+                        // closed: the instance has stopped
                     }
                 }
                 Event::Ready | Event::GoAway(_) | Event::Pong => {}
@@ -340,17 +346,17 @@
             self.invalid(stream, &Status::new(Code::InvalidArgument, text), pipe);
             return false;
         }
-        let front = &self.door.settings.settings.front;
-        let (body, arrived, begun) = (Deframer::new(front.most_message), self.pass.came(), self.time());
+        let front = &self.context.settings.settings.front;
+        let (body, arrived, begun) = (Deframer::new(front.most_message), self.permit.came(), self.time());
         let timeout = timeout.flatten();
-        self.look = self.look.or(Some(begun + self.pass.pace().patience));
+        self.look = self.look.or(Some(begun + self.permit.pace().patience));
         self.calls.insert(stream, Call::Reading { health, body, arrived, timeout, begun, bytes: 0 });
         true
     }
 
     /// A call that the module is not told of.
     fn invalid(&mut self, stream: u32, status: &Status, pipe: &mut Pipe<Reply>) {
-        add(&self.door.telemetry.invalid);
+        add(&self.context.telemetry.invalid);
         self.calls.remove(&stream);
         finish(pipe, stream, status);
     }
@@ -379,9 +385,9 @@
         }
         let request = RateLimitRequest::decode(message).map_err(broken)?;
         let descriptors = request.descriptors.len();
-        let id = RequestId(self.door.ids.fetch_add(1, Ordering::Relaxed));
-        let ask = ask(&self.door, request, id, arrived, timeout, stream, self.reply.clone())?;
-        let preferred = self.door.settings.preferred[usize::from(ask.customer.plan)];
+        let id = RequestId(self.context.ids.fetch_add(1, Ordering::Relaxed));
+        let ask = ask(&self.context, request, id, arrived, timeout, stream, self.reply.clone())?;
+        let preferred = self.context.settings.preferred[usize::from(ask.customer.plan)];
         let account = ask.customer.id.0;
         self.calls.insert(stream, Call::Waiting { id, descriptors, account, preferred });
         Ok(Some(Box::new(ask)))
@@ -396,13 +402,13 @@
         // A client that reset the call and a reply that crossed it: nobody is there to be told.
         let same = |c: &Call| matches!(c, Call::Waiting { id, .. } if *id == r.id);
         if !self.calls.get(&r.token).is_some_and(same) {
-            return self.pass.ended(None, false);
+            return self.permit.ended(None, false);
         }
         let Some(Call::Waiting { descriptors, account, preferred, .. }) = self.calls.remove(&r.token) else {
             return;
         };
         let served = matches!(r.answer, Answer::Served { .. }).then_some((account, preferred));
-        self.pass.ended(served, matches!(r.answer, Answer::Refused { .. }));
+        self.permit.ended(served, matches!(r.answer, Answer::Refused { .. }));
         let header = |key: &str, value: String| HeaderValue { key: key.into(), value };
         let response = match r.answer {
             Answer::Served { body, node } => RateLimitResponse {
@@ -462,7 +468,7 @@
 
 /// Reads a request out of a call.
 fn ask(
-    door: &Door,
+    context: &FrontContext,
     request: RateLimitRequest,
     id: RequestId,
     arrived: Micros,
@@ -471,7 +477,7 @@
     reply: Sender<Reply>,
 ) -> Result<Ask, Status> {
     let bad = |text: String| Status::new(Code::InvalidArgument, text);
-    let front = &door.settings.settings.front;
+    let front = &context.settings.settings.front;
     if let Some(domain) = front.domain.as_ref().filter(|d| **d != request.domain) {
         return Err(bad(format!("domain {:?}: expected {domain:?}", request.domain)));
     }
@@ -515,7 +521,7 @@
     let account = account.unwrap_or_default();
     let demand =
         Demand { account, class, key, units, arrived, timeout, entries: others, payload: Bytes::new() };
-    door.ask(id, demand, token, reply).map_err(|e| {
+    context.ask(id, demand, token, reply).map_err(|e| {
         let code = match e {
             Bad::Account(_) => Code::PermissionDenied,
             Bad::Class { .. } | Bad::Units { .. } => Code::InvalidArgument,
--- a/crates/gateway/src/front/mod.rs
+++ b/crates/gateway/src/front/mod.rs
@@ -1,11 +1,11 @@
-//! Where clients ask. A [`Front`] is a protocol; what all have in common is the [`Door`]: how connections are let in, how
+//! Where clients ask. A [`Front`] is a protocol; what all have in common is the [`FrontContext`]: how connections are let in, how
 //! a request is made out of what a client said, and how it gets to the driver. The driver knows no protocol: an
 //! [`Ask`] goes in, one [`Reply`] comes out, and a client that is gone is told by `Input::Gone`.
 
 pub(crate) mod grpc;
 pub(crate) mod mqtt;
 
-use crate::gate::{Gate, Pass, Refusal};
+use crate::gate::{Gate, Permit, Refusal};
 use crate::messages::{self, Ask, Input, Reply};
 use crate::settings::{Compiled, KeyRule};
 use crate::telemetry::{add, Telemetry};
@@ -21,19 +21,24 @@
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::Arc;
 
-/// A protocol that clients speak. Each of its connections is a task that has a [`Pass`].
+/// A protocol that clients speak. Each of its connections is a task that has a [`Permit`].
 pub trait Front: Clone + Send + Sync + 'static {
     /// What all its connections share.
-    type Door: Clone + Send + Sync + 'static;
+    type Context: Clone + Send + Sync + 'static;
     /// Serves one connection to its end, or to that of the drain.
-    fn serve(&self, door: Self::Door, stream: Box<dyn Stream>, pass: Pass) -> BoxFuture<'static, ()>;
+    fn serve(
+        &self,
+        context: Self::Context,
+        stream: Box<dyn Stream>,
+        permit: Permit,
+    ) -> BoxFuture<'static, ()>;
     /// Tells a client that there is no room, and when to come back.
     fn refuse(&self, runtime: Shared, stream: Box<dyn Stream>, pause: Micros) -> BoxFuture<'static, ()>;
 }
 
 /// Where connections of any protocol arrive.
 #[derive(Clone)]
-pub struct Entrance {
+pub struct Acceptor {
     /// The world.
     pub runtime: Shared,
     /// What is counted.
@@ -50,8 +55,8 @@
 
 /// What all connections of the gRPC and MQTT fronts share.
 #[derive(Clone)]
-pub struct Door {
-    pub(crate) entrance: Entrance,
+pub struct FrontContext {
+    pub(crate) acceptor: Acceptor,
     pub(crate) settings: Arc<Compiled>,
     pub(crate) driver: Sender<Input>,
     /// The next request's number.
@@ -60,10 +65,10 @@
     pub(crate) name: String,
 }
 
-impl std::ops::Deref for Door {
-    type Target = Entrance;
-    fn deref(&self) -> &Entrance {
-        &self.entrance
+impl std::ops::Deref for FrontContext {
+    type Target = Acceptor;
+    fn deref(&self) -> &Acceptor {
+        &self.acceptor
     }
 }
 
@@ -100,7 +105,7 @@
 
 /// Takes connections until the drain begins, then those that the system has accepted by then, and closes the listener: with
 /// it they would be reset, with whole requests in them.
-pub async fn listen<F: Front>(front: F, door: F::Door, at: Entrance, listener: Box<dyn Listener>) {
+pub async fn listen<F: Front>(front: F, context: F::Context, at: Acceptor, listener: Box<dyn Listener>) {
     // Something is open as long as connections may be waiting here.
     at.open.fetch_add(1, Ordering::Relaxed);
     let mut draining = false;
@@ -132,11 +137,11 @@
             }
         };
         match at.gate.offer(stream.peer().ip()) {
-            Ok(pass) => {
+            Ok(permit) => {
                 add(&at.telemetry.connections);
                 at.open.fetch_add(1, Ordering::Relaxed);
                 let open = at.open.clone();
-                at.spawn(front.serve(door.clone(), stream, pass), move || {
+                at.spawn(front.serve(context.clone(), stream, permit), move || {
                     open.fetch_sub(1, Ordering::Relaxed);
                 });
             }
@@ -153,7 +158,7 @@
     }
 }
 
-impl Entrance {
+impl Acceptor {
     fn spawn(
         &self,
         task: impl std::future::Future<Output = ()> + Send + 'static,
@@ -168,7 +173,7 @@
     }
 }
 
-impl Door {
+impl FrontContext {
     /// Makes a request out of what a client said.
     pub fn ask(&self, id: RequestId, demand: Demand, token: u32, reply: Sender<Reply>) -> Result<Ask, Bad> {
         let Demand { account, class, key, units, arrived, timeout, entries, payload } = demand;
--- a/crates/gateway/src/front/mqtt.rs
+++ b/crates/gateway/src/front/mqtt.rs
@@ -1,8 +1,8 @@
 //! The MQTT front (5.0 and 3.1.1): a publish is a request. Its answer is the PUBACK of QoS 1, the PUBREC of QoS 2, and a
 //! message to its response topic where it has one. QoS 0 without one has no answer, and is decided all the same.
 
-use super::{Bad, Demand, Door, Front, WORD};
-use crate::gate::Pass;
+use super::{Bad, Demand, Front, FrontContext, WORD};
+use crate::gate::Permit;
 use crate::ledger::lock;
 use crate::messages::{Answer, Ask, Input, Reply};
 use crate::settings::{self, Part};
@@ -205,10 +205,15 @@
 }
 
 impl Front for Mqtt {
-    type Door = Door;
-
-    fn serve(&self, door: Door, stream: Box<dyn Stream>, pass: Pass) -> BoxFuture<'static, ()> {
-        Box::pin(serve(self.shared.clone(), door, stream, pass))
+    type Context = FrontContext;
+
+    fn serve(
+        &self,
+        context: FrontContext,
+        stream: Box<dyn Stream>,
+        permit: Permit,
+    ) -> BoxFuture<'static, ()> {
+        Box::pin(serve(self.shared.clone(), context, stream, permit))
     }
 
     fn refuse(&self, runtime: Shared, stream: Box<dyn Stream>, pause: Micros) -> BoxFuture<'static, ()> {
@@ -309,8 +314,8 @@
 
 struct Conn {
     shelf: Arc<Shelf>,
-    door: Door,
-    pass: Pass,
+    context: FrontContext,
+    permit: Permit,
     waiting: HashMap<u32, Waiting>,
     next: u32,
     reply: Sender<Reply>,
@@ -330,17 +335,17 @@
 
 type Link = Pipe<Reply, Server>;
 
-async fn serve(shelf: Arc<Shelf>, door: Door, stream: Box<dyn Stream>, pass: Pass) {
-    let (runtime, peer) = (door.runtime.clone(), stream.peer());
+async fn serve(shelf: Arc<Shelf>, context: FrontContext, stream: Box<dyn Stream>, permit: Permit) {
+    let (runtime, peer) = (context.runtime.clone(), stream.peer());
     let (reply, replies) = async_channel::unbounded(); // as many as `waiting` has, below
-    let signal = pass.signal.clone();
+    let signal = permit.signal.clone();
     let server = Server::new(shelf.limits());
     let mut pipe = Pipe::new(runtime.clone(), stream, server, replies.clone(), signal);
     let most = 2 * usize::from(shelf.settings.receive_maximum);
     let mut c = Conn {
         shelf,
-        door,
-        pass,
+        context,
+        permit,
         waiting: HashMap::new(),
         next: 0,
         reply,
@@ -363,7 +368,7 @@
         if pipe.conn.closed() {
             break;
         }
-        let pace = c.pass.pace();
+        let pace = c.permit.pace();
         let quiet = if pipe.conn.open() {
             pipe.conn.patience().map(|s| heard + (s * 1e6) as Micros)
         } else {
@@ -383,7 +388,7 @@
         let turn = future::or(kicked, async { Some(pipe.turn(until, read).await) }).await;
         match turn {
             None => {
-                add(&c.door.telemetry.mqtt_taken_over);
+                add(&c.context.telemetry.mqtt_taken_over);
                 pipe.conn.disconnect(reason::SESSION_TAKEN_OVER, None);
                 c.will = None; // its client is there
                 break;
@@ -398,7 +403,7 @@
             Some(Turn::Time) => {
                 let now = runtime.now();
                 if pipe.backlog().is_some_and(|(since, written)| pace.too_slow(now, since, written)) {
-                    add(&c.door.telemetry.too_slow);
+                    add(&c.context.telemetry.too_slow);
                     break;
                 }
                 if quiet.is_some_and(|q| now >= q) {
@@ -407,18 +412,18 @@
                 }
             }
             Some(Turn::Signal) => {
-                if c.pass.draining() {
+                if c.permit.draining() {
                     c.draining = true;
                 } else if c.waiting.is_empty() {
                     pipe.conn.disconnect(reason::SERVER_BUSY, Some("idle, and others need the room"));
                     break;
                 } else {
-                    let signal = c.pass.stays();
+                    let signal = c.permit.stays();
                     pipe.watch(signal);
                 }
             }
             Some(Turn::Bad(e)) => {
-                add(&c.door.telemetry.connections_bad);
+                add(&c.context.telemetry.connections_bad);
                 tracing::debug!(%peer, error = %e, "client's connection given up");
                 if pipe.conn.version().is_none() || c.client.is_empty() {
                     pipe.conn.refuse(chalkgap_wire::mqtt::server::connect_code(&e), Properties::default());
@@ -443,7 +448,7 @@
                 Event::Publish(p) => self.publish(p, pipe).await,
                 Event::Repeated(p) => {
                     // Another ingress may have run it, or be about to: never twice.
-                    add(&self.door.telemetry.mqtt_repeated);
+                    add(&self.context.telemetry.mqtt_repeated);
                     let why = "it came again, and may have run elsewhere".to_owned();
                     let properties = Properties(vec![Property::ReasonString(why)]);
                     pipe.conn.answer(p.qos, p.packet, reason::IMPLEMENTATION_SPECIFIC, properties);
@@ -488,10 +493,10 @@
         if c.client.len() > CLIENT || (c.client.is_empty() && !v5 && !c.clean_start) {
             return pipe.conn.refuse(reason::CLIENT_IDENTIFIER_NOT_VALID, Properties::default());
         }
-        match shelf.authentic(&c, self.door.runtime.now()) {
+        match shelf.authentic(&c, self.context.runtime.now()) {
             Some(true) => {}
             Some(false) => {
-                add(&self.door.telemetry.mqtt_denied);
+                add(&self.context.telemetry.mqtt_denied);
                 return pipe.conn.refuse(reason::BAD_USER_NAME_OR_PASSWORD, Properties::default());
             }
             None => return pipe.conn.refuse(reason::SERVER_BUSY, retry(1_000_000)),
@@ -501,7 +506,7 @@
         }
         let assigned = c.client.is_empty();
         // Sessions are their user's: another user's client of the same name has another one.
-        let name = if assigned { format!("{:016x}", self.door.runtime.random()) } else { c.client };
+        let name = if assigned { format!("{:016x}", self.context.runtime.random()) } else { c.client };
         let user = c.user.clone().unwrap_or_default();
         let key = session_key(&user, &name);
         let expiry = c.properties.find(|p| if let Property::SessionExpiry(n) = p { Some(*n) } else { None });
@@ -530,8 +535,8 @@
             pipe.conn.keep_alive(s.keep_alive_s);
         }
         pipe.conn.accept(session, Properties(list));
-        self.pass.handshaken();
-        add(&self.door.telemetry.mqtt_connected);
+        self.permit.handshaken();
+        add(&self.context.telemetry.mqtt_connected);
     }
 
     /// The session of a client, from whoever has it.
@@ -548,13 +553,13 @@
         if let Some((signal, _)) = old {
             drop(signal);
             // It gives the session up when it has seen the signal; a client with QoS 2 under way needs it.
-            let end = self.door.runtime.now() + HAND_OVER;
-            while self.door.runtime.now() < end && !lock(&self.shelf.sessions).idle.contains_key(key) {
-                self.door.runtime.sleep_until(self.door.runtime.now() + 5000).await;
+            let end = self.context.runtime.now() + HAND_OVER;
+            while self.context.runtime.now() < end && !lock(&self.shelf.sessions).idle.contains_key(key) {
+                self.context.runtime.sleep_until(self.context.runtime.now() + 5000).await;
             }
         }
         let kept = lock(&self.shelf.sessions).take(key);
-        let fresh = kept.filter(|(_, until)| *until > self.door.runtime.now()).map(|k| k.0);
+        let fresh = kept.filter(|(_, until)| *until > self.context.runtime.now()).map(|k| k.0);
         fresh.filter(|_| !clean)
     }
 
@@ -598,7 +603,7 @@
             }
         }
         let timeout = timeout.into_iter().chain(expiry).min();
-        let arrived = self.pass.came();
+        let arrived = self.permit.came();
         let units = units.max(1);
         Ok(Demand { account, class: Some(class), key, units, arrived, timeout, entries, payload })
     }
@@ -614,11 +619,11 @@
             Some((to, data))
         };
         let answer_to = find(&p.properties);
-        let id = RequestId(self.door.ids.fetch_add(1, Ordering::Relaxed));
+        let id = RequestId(self.context.ids.fetch_add(1, Ordering::Relaxed));
         self.next = self.next.wrapping_add(1);
         let token = self.next;
         let asked = self.demand(&p.topic, &p.properties, p.payload).and_then(|demand| {
-            self.door.ask(id, demand, token, self.reply.clone()).map_err(|e| match e {
+            self.context.ask(id, demand, token, self.reply.clone()).map_err(|e| match e {
                 Bad::Account(_) | Bad::Class { .. } => reason::NOT_AUTHORIZED,
                 Bad::Units { .. } => reason::IMPLEMENTATION_SPECIFIC,
             })
@@ -626,14 +631,15 @@
         match asked {
             Ok(ask) => {
                 let account = ask.customer.id.0;
-                let preferred = self.door.settings.preferred[usize::from(ask.customer.plan)];
+                let preferred = self.context.settings.preferred[usize::from(ask.customer.plan)];
                 let (qos, packet) = (p.qos, p.packet);
                 self.waiting.insert(token, Waiting { id, qos, packet, answer_to, account, preferred });
-                self.pass.request();
-                let _ = self.door.driver.send(Input::Ask(Box::new(ask))).await; // closed: the instance has stopped
+                self.permit.request();
+                let _ = self.context.driver.send(Input::Ask(Box::new(ask))).await;
+                // closed: the instance has stopped
             }
             Err(code) => {
-                add(&self.door.telemetry.invalid);
+                add(&self.context.telemetry.invalid);
                 self.end(p.qos, p.packet, code, Properties::default(), pipe);
             }
         }
@@ -643,7 +649,7 @@
     fn known(&mut self, r: &Reply) -> Option<Waiting> {
         let w = self.waiting.remove(&r.token)?;
         let served = matches!(r.answer, Answer::Served { .. }).then_some((w.account, w.preferred));
-        self.pass.ended(served, matches!(r.answer, Answer::Refused { .. }));
+        self.permit.ended(served, matches!(r.answer, Answer::Refused { .. }));
         Some(w)
     }
 
@@ -681,17 +687,17 @@
 
     /// The connection is over: its session is put away when all in it is known, its will becomes a request.
     async fn leave(mut self, mut pipe: Link, replies: Receiver<Reply>) {
-        let runtime = self.door.runtime.clone();
+        let runtime = self.context.runtime.clone();
         if !self.gone {
             // A client that broke off waits for no answer of QoS 1 and sends it again; QoS 0 and 2 go on.
             let list: Vec<RequestId> =
                 self.waiting.values().filter(|w| w.qos == QoS::AtLeastOnce).map(|w| w.id).collect();
             for id in list {
-                let _ = self.door.driver.send(Input::Gone(id)).await; // closed: the instance has stopped
+                let _ = self.context.driver.send(Input::Gone(id)).await; // closed: the instance has stopped
             }
         }
         let mut session = pipe.conn.take_session();
-        self.pass.linger(pipe.close(runtime.now() + LINGER)).await;
+        self.permit.linger(pipe.close(runtime.now() + LINGER)).await;
         if self.client.is_empty() {
             return; // it was never let in
         }
@@ -718,17 +724,17 @@
         // At the end of the session at the latest [MQTT-3.1.3-9], and not if its client is back.
         let delay = (Micros::from(delay.unwrap_or(0)) * 1_000_000).min(self.expiry);
         if delay > 0 {
-            self.door.runtime.sleep_until(self.door.runtime.now() + delay).await;
+            self.context.runtime.sleep_until(self.context.runtime.now() + delay).await;
             if lock(&self.shelf.sessions).live.contains_key(&self.client) {
                 return;
             }
         }
-        let id = RequestId(self.door.ids.fetch_add(1, Ordering::Relaxed));
+        let id = RequestId(self.context.ids.fetch_add(1, Ordering::Relaxed));
         let Ok(demand) = self.demand(&will.topic, &will.properties, will.payload) else { return };
-        let demand = Demand { arrived: self.door.runtime.now(), ..demand };
-        let asked: Result<Ask, Bad> = self.door.ask(id, demand, 0, self.reply.clone());
+        let demand = Demand { arrived: self.context.runtime.now(), ..demand };
+        let asked: Result<Ask, Bad> = self.context.ask(id, demand, 0, self.reply.clone());
         if let Ok(ask) = asked {
-            let _ = self.door.driver.send(Input::Ask(Box::new(ask))).await; // closed: the instance has stopped
+            let _ = self.context.driver.send(Input::Ask(Box::new(ask))).await; // closed: the instance has stopped
         }
     }
 }
--- a/crates/gateway/src/gate.rs
+++ b/crates/gateway/src/gate.rs
@@ -1,5 +1,5 @@
-//! Connection admission, wired: one decider for all fronts of an instance. A front asks for a [`Pass`] for each
-//! connection and tells what happens on it; dropped, the pass says that the connection is gone.
+//! Connection admission, wired: one decider for all fronts of an instance. A front asks for a [`Permit`] for each
+//! connection and tells what happens on it; dropped, the permit says that the connection is gone.
 
 use crate::settings::Compiled;
 use crate::telemetry::{add, Telemetry};
@@ -52,7 +52,7 @@
 }
 
 /// A connection that was let in.
-pub struct Pass {
+pub struct Permit {
     gate: Arc<Gate>,
     id: ConnId,
     /// Its other end is dropped when the connection is to go, or the drain begins.
@@ -179,7 +179,7 @@
     }
 
     /// A connection is offered.
-    pub fn offer(self: &Arc<Self>, address: IpAddr) -> Result<Pass, Refusal> {
+    pub fn offer(self: &Arc<Self>, address: IpAddr) -> Result<Permit, Refusal> {
         let now = self.runtime.now();
         let mut s = self.state();
         s.decider.accepted();
@@ -196,7 +196,7 @@
                     s.signals.insert(id, signal); // else it is told at once
                 }
                 s.cut();
-                Ok(Pass { gate: self.clone(), id, signal: receiver })
+                Ok(Permit { gate: self.clone(), id, signal: receiver })
             }
             Offer::Refuse { reason, word, pause } => {
                 add(&self.telemetry.connections_refused);
@@ -326,7 +326,7 @@
     }
 }
 
-impl Pass {
+impl Permit {
     fn with<T>(&self, act: impl FnOnce(&mut Admission, Micros, ConnId) -> T) -> T {
         let now = self.gate.runtime.now();
         act(&mut self.gate.state().decider, now, self.id)
@@ -395,7 +395,7 @@
     }
 }
 
-impl Drop for Pass {
+impl Drop for Permit {
     fn drop(&mut self) {
         let now = self.gate.runtime.now();
         let mut s = self.gate.state();
--- a/crates/gateway/src/instance.rs
+++ b/crates/gateway/src/instance.rs
@@ -3,7 +3,7 @@
 use crate::driver::{Driver, Figures};
 use crate::error::StartError;
 use crate::fleet::{Fleet, ShownView};
-use crate::front::{self, grpc::Grpc, mqtt::Mqtt, Door, Entrance};
+use crate::front::{self, grpc::Grpc, mqtt::Mqtt, Acceptor, FrontContext};
 use crate::gate::{Gate, GateConfig};
 use crate::ledger::Desk;
 use crate::messages::Input;
@@ -181,7 +181,7 @@
             }
             ListSource::Handle => {}
         }
-        let entrance = Entrance {
+        let acceptor = Acceptor {
             runtime: runtime.clone(),
             telemetry,
             drain: drained,
@@ -190,13 +190,14 @@
             gate: gate.clone(),
         };
         let ids = Arc::new(AtomicU64::new(1));
-        let door = Door { entrance: entrance.clone(), settings: settings.clone(), driver, ids, name };
+        let context =
+            FrontContext { acceptor: acceptor.clone(), settings: settings.clone(), driver, ids, name };
         start(Box::pin(gate.watch()));
         if let Some((front, listener)) = mqtt {
             start(Box::pin(front.clone().watch(runtime.clone())));
-            start(Box::pin(front::listen(front, door.clone(), entrance.clone(), listener)));
+            start(Box::pin(front::listen(front, context.clone(), acceptor.clone(), listener)));
         }
-        start(Box::pin(front::listen(Grpc, door, entrance, listener)));
+        start(Box::pin(front::listen(Grpc, context, acceptor, listener)));
         tracing::info!(ingress = fleet.me, grpc = %instance.grpc, "started");
         Ok(instance)
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -4,7 +4,7 @@
 //! service, sends what the module lets in to nodes, talks to its peers, and is drained or stopped through its handle.
 //! All decisions on requests are those of `chalkgap-core`; the driver inside carries them out.
 //!
-//! - [`doors`]: the driver, the gate and the traits of ways in and out, for other protocols' packages
+//! - [`frontend`]: the driver, the gate and the traits of ways in and out, for other protocols' packages
 //! - [`fleet`]: who is there, as any ingress shows it
 //! - [`settings`]: what an instance is told, as a script or in place
 //! - [`nodes`]: the list of nodes
@@ -28,10 +28,10 @@
 
 /// What a protocol in a package of its own is built on: the driver that owns the module, what goes in and out of it, and
 /// the gate that lets connections in. An [`Instance`] is put together from the same parts.
-pub mod doors {
+pub mod frontend {
     pub use crate::driver::{Driver, Figures};
-    pub use crate::front::{listen, Entrance, Front};
-    pub use crate::gate::{Gate, GateConfig, Pass};
+    pub use crate::front::{listen, Acceptor, Front};
+    pub use crate::gate::{Gate, GateConfig, Permit};
     pub use crate::messages::{Answer, Ask, Call, Ended, Input, Reply, Upstream};
     pub use crate::peers::Intake;
     pub use crate::settings::Customer;
--- a/crates/platform/src/backend.rs
+++ b/crates/platform/src/backend.rs
@@ -6,7 +6,7 @@
 use crate::request::Work;
 use async_channel::{Receiver, Sender};
 use bytes::{Buf, Bytes, BytesMut};
-use chalkgap::doors::{Call, Ended, Input, Upstream};
+use chalkgap::frontend::{Call, Ended, Input, Upstream};
 use chalkgap_core::{BackendId, Outcome, RequestId};
 use chalkgap_pipe::while_alive;
 use chalkgap_runtime::{Alarm, Micros, Shared, Stream};
--- a/crates/platform/src/discovery.rs
+++ b/crates/platform/src/discovery.rs
@@ -7,7 +7,7 @@
 use crate::list::{List, NotTaken, Roster};
 use crate::request::Work;
 use async_channel::{Receiver, Sender};
-use chalkgap::doors::Input;
+use chalkgap::frontend::Input;
 use chalkgap_runtime::{Micros, Shared, Stream};
 use futures_lite::{future, AsyncReadExt, AsyncWriteExt};
 use std::future::Future;
--- a/crates/platform/src/front.rs
+++ b/crates/platform/src/front.rs
@@ -3,7 +3,7 @@
 use crate::request::{Grammar, Request, Work};
 use crate::session::{Heard, Session, MOST_OPEN};
 use async_channel::Sender;
-use chalkgap::doors::{Answer, Ask, Customer, Front, Input, Pass, Reply};
+use chalkgap::frontend::{Answer, Ask, Customer, Front, Input, Permit, Reply};
 use chalkgap::telemetry::{add, Telemetry};
 use chalkgap_core::{CustomerId, RequestId};
 use chalkgap_pipe::{linger, Pipe, Turn};
@@ -27,7 +27,7 @@
 
 /// What all connections share.
 #[derive(Clone)]
-pub struct Door {
+pub struct FrontContext {
     pub runtime: Shared,
     pub telemetry: Arc<Telemetry>,
     pub driver: Sender<Input<Work>>,
@@ -40,7 +40,7 @@
     pub overtime: Arc<AtomicU64>,
 }
 
-impl Door {
+impl FrontContext {
     fn open(&self) -> MutexGuard<'_, HashSet<u64>> {
         self.open.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -59,17 +59,22 @@
 pub struct Resp;
 
 impl Front for Resp {
-    type Door = Door;
-
-    fn serve(&self, door: Door, stream: Box<dyn Stream>, pass: Pass) -> BoxFuture<'static, ()> {
+    type Context = FrontContext;
+
+    fn serve(
+        &self,
+        context: FrontContext,
+        stream: Box<dyn Stream>,
+        permit: Permit,
+    ) -> BoxFuture<'static, ()> {
         Box::pin(async move {
             let (reply, replies) = async_channel::bounded(MOST_OPEN);
-            let runtime = door.runtime.clone();
-            let session = Session::new(door.grammar.clone());
-            let pipe = Pipe::new(runtime, stream, session, replies, pass.signal.clone());
-            let began = door.runtime.now();
+            let runtime = context.runtime.clone();
+            let session = Session::new(context.grammar.clone());
+            let pipe = Pipe::new(runtime, stream, session, replies, permit.signal.clone());
+            let began = context.runtime.now();
             let asked = HashMap::new();
-            Client { door, pass, reply, asked, began, partial: None, closing: None }.serve(pipe).await;
+            Client { context, permit, reply, asked, began, partial: None, closing: None }.serve(pipe).await;
         })
     }
 
@@ -92,8 +97,8 @@
 }
 
 struct Client {
-    door: Door,
-    pass: Pass,
+    context: FrontContext,
+    permit: Permit,
     reply: Sender<Reply>,
     /// Requests that are out, by the numbers of their slots.
     asked: HashMap<u32, (RequestId, u64)>,
@@ -109,7 +114,7 @@
 impl Client {
     async fn serve(mut self, mut pipe: ClientPipe) {
         loop {
-            let overtime = Some(self.door.overtime.load(Ordering::Relaxed)).filter(|o| *o > 0);
+            let overtime = Some(self.context.overtime.load(Ordering::Relaxed)).filter(|o| *o > 0);
             let silent = (pipe.conn.commands() == 0 && !pipe.conn.stopped()).then_some(self.began + PATIENCE);
             let half = self.partial.map(|p| p + PATIENCE);
             let unread = pipe.backlog().map(|b| b.0 + UNREAD);
@@ -126,19 +131,19 @@
                 }
                 Turn::Signal => {
                     // It comes when nothing is there to be read.
-                    let now = self.door.runtime.now();
+                    let now = self.context.runtime.now();
                     let sending = self.partial.is_some_and(|p| now < p + SENDING);
-                    if self.pass.draining() {
+                    if self.permit.draining() {
                         self.closing = Some(now);
                         pipe.conn.close();
                     } else if pipe.conn.idle() && !sending {
                         pipe.conn.stop();
                     } else {
-                        pipe.watch(self.pass.stays());
+                        pipe.watch(self.permit.stays());
                     }
                 }
                 Turn::Time => {
-                    let now = self.door.runtime.now();
+                    let now = self.context.runtime.now();
                     let due = |t: Option<Micros>| t.is_some_and(|t| t <= now);
                     if due(overtime) {
                         self.overtime(&mut pipe.conn).await;
@@ -147,7 +152,7 @@
                     } else if due(rest) {
                         pipe.conn.shut();
                     } else if due(half) || due(silent) {
-                        add(&self.door.telemetry.too_slow);
+                        add(&self.context.telemetry.too_slow);
                         pipe.conn.fail("ERR no whole command in time");
                     }
                 }
@@ -162,18 +167,18 @@
                 break;
             }
             if before == 0 && pipe.conn.commands() > 0 {
-                self.pass.handshaken();
+                self.permit.handshaken();
             }
             // Who sends without a pause always has the beginning of the next command here: only one that does not grow
             // whole is half a command.
             self.partial = match pipe.conn.partial() && pipe.conn.reads() {
-                true if before == pipe.conn.commands() => self.partial.or(Some(self.door.runtime.now())),
-                true => Some(self.door.runtime.now()),
+                true if before == pipe.conn.commands() => self.partial.or(Some(self.context.runtime.now())),
+                true => Some(self.context.runtime.now()),
                 false => None,
             };
             if pipe.conn.over() {
-                let until = self.door.runtime.now() + LINGER;
-                self.pass.linger(pipe.close(until)).await;
+                let until = self.context.runtime.now() + LINGER;
+                self.permit.linger(pipe.close(until)).await;
                 break;
             }
         }
@@ -183,13 +188,13 @@
     /// Takes what can be taken of what the client has sent; false if it has left meanwhile.
     async fn heard(&mut self, pipe: &mut ClientPipe) -> bool {
         loop {
-            let next = pipe.conn.next(|id| self.door.open().insert(id));
+            let next = pipe.conn.next(|id| self.context.open().insert(id));
             let Some(Heard { token, request }) = next else { return true };
-            self.pass.request();
+            self.permit.request();
             let id = request.id;
-            let ask = self.door.ask(token, request, self.reply.clone());
+            let ask = self.context.ask(token, request, self.reply.clone());
             self.asked.insert(token, (ask.id, id));
-            match pipe.hand_over(&self.door.driver, Input::Ask(Box::new(ask))).await {
+            match pipe.hand_over(&self.context.driver, Input::Ask(Box::new(ask))).await {
                 Some(true) => {}
                 Some(false) => pipe.conn.stop(), // the instance has stopped
                 None => return false,
@@ -199,16 +204,16 @@
 
     fn answered(&mut self, reply: Reply, session: &mut Session) {
         let Some((_, id)) = self.asked.remove(&reply.token) else { return };
-        self.door.open().remove(&id);
+        self.context.open().remove(&id);
         let refused = matches!(reply.answer, Answer::Refused { .. });
-        self.pass.ended(None, refused);
+        self.permit.ended(None, refused);
         session.answered(reply.token, reply.answer);
     }
 
     /// The process will be killed soon: what is still open has failed.
     async fn overtime(&mut self, session: &mut Session) {
         for token in self.give_up().await {
-            self.pass.ended(None, false);
+            self.permit.ended(None, false);
             session.answered(token, Answer::Failed { late: true });
         }
         session.refuse_rest();
@@ -218,8 +223,8 @@
     async fn give_up(&mut self) -> Vec<u32> {
         let asked = std::mem::take(&mut self.asked);
         for (request, id) in asked.values() {
-            self.door.open().remove(id);
-            let _ = self.door.driver.send(Input::Gone(*request)).await; // closed: the instance has stopped
+            self.context.open().remove(id);
+            let _ = self.context.driver.send(Input::Gone(*request)).await; // closed: the instance has stopped
         }
         asked.into_keys().collect()
     }
--- a/crates/platform/src/ingress.rs
+++ b/crates/platform/src/ingress.rs
@@ -5,12 +5,12 @@
 use crate::config::Config;
 use crate::discovery;
 use crate::ending::Ends;
-use crate::front::{Door, Resp};
+use crate::front::{FrontContext, Resp};
 use crate::list::Roster;
 use crate::peers;
 use crate::request::Grammar;
 use async_channel::{Receiver, Sender};
-use chalkgap::doors::{listen, Driver, Entrance, Figures, Gate, GateConfig, Input};
+use chalkgap::frontend::{listen, Acceptor, Driver, Figures, Gate, GateConfig, Input};
 use chalkgap::telemetry::{Counts, Telemetry};
 use chalkgap_admission::known::Places;
 use chalkgap_admission::pace::Pace;
@@ -189,7 +189,7 @@
         let address = listener.address();
         let (open, overtime) = (Arc::new(AtomicUsize::new(0)), Arc::new(AtomicU64::new(0)));
         let longest = terms.settings.classes.iter().map(|c| c.deadline).max();
-        let entrance = Entrance {
+        let acceptor = Acceptor {
             runtime: runtime.clone(),
             telemetry: telemetry.clone(),
             drain: drained,
@@ -197,7 +197,7 @@
             open: open.clone(),
             gate: gate.clone(),
         };
-        let door = Door {
+        let context = FrontContext {
             runtime: runtime.clone(),
             telemetry: telemetry.clone(),
             driver,
@@ -207,7 +207,7 @@
             overtime: overtime.clone(),
         };
         start(Box::pin(gate.clone().watch()));
-        start(Box::pin(listen(Resp, door, entrance, listener)));
+        start(Box::pin(listen(Resp, context, acceptor, listener)));
         tracing::info!(ingress = config.name, list, %address, "started");
         Ok(Ingress {
             runtime,
--- a/crates/platform/src/peers.rs
+++ b/crates/platform/src/peers.rs
@@ -3,7 +3,7 @@
 
 use crate::request::Work;
 use async_channel::{Receiver, Sender};
-use chalkgap::doors::{Input, Intake};
+use chalkgap::frontend::{Input, Intake};
 use chalkgap::telemetry::{add, Telemetry};
 use chalkgap_runtime::{Datagrams, Shared};
 use std::collections::HashMap;
--- a/crates/platform/src/session.rs
+++ b/crates/platform/src/session.rs
@@ -2,7 +2,7 @@
 
 use crate::request::{Grammar, Invalid, Request};
 use bytes::{Bytes, BytesMut};
-use chalkgap::doors::Answer;
+use chalkgap::frontend::Answer;
 use chalkgap_core::Micros;
 use chalkgap_pipe::Machine;
 use chalkgap_resp::{command, put_bulk, put_line, Limits};
--- a/crates/platform/tests/discovery.rs
+++ b/crates/platform/tests/discovery.rs
@@ -2,7 +2,7 @@
 //! the bound; and how often the agent is asked.
 
 use async_channel::{Receiver, Sender};
-use chalkgap::doors::Input;
+use chalkgap::frontend::Input;
 use chalkgap_core::Availability;
 use chalkgap_platform::discovery::{follow, Waits};
 use chalkgap_platform::list::Roster;
--- a/crates/platform/tests/machines.rs
+++ b/crates/platform/tests/machines.rs
@@ -1,7 +1,7 @@
 //! The platform's machines without a socket: grammar, session, answers, pool, list, feed.
 
 use bytes::{Bytes, BytesMut};
-use chalkgap::doors::Answer;
+use chalkgap::frontend::Answer;
 use chalkgap_core::{Availability, BackendId, Outcome, RosterKind};
 use chalkgap_pipe::Machine;
 use chalkgap_platform::answer::{take, Budget};
