--- a/crates/gateway/src/driver.rs
+++ b/crates/gateway/src/driver.rs
@@ -31,7 +31,7 @@
 struct Out {
     backend: BackendId,
     address: SocketAddr,
-    link: u64,
+    connection: u64,
     sent: Micros,
     ended: bool,
     /// It waits for the ledger: nothing of it has left.
@@ -94,7 +94,7 @@
     telemetry: Arc<Telemetry>,
     core: Gateway,
     book: Book,
-    links: U,
+    connections: U,
     peers: Option<Sender<(u16, Vec<u8>)>>,
     books: Option<Books>,
     /// In the order of their numbers.
@@ -117,7 +117,7 @@
         figures: Figures,
         telemetry: Arc<Telemetry>,
         core: Gateway,
-        links: U,
+        connections: U,
         input: Receiver<Input<U::Work>>,
     ) -> Self {
         Driver {
@@ -126,7 +126,7 @@
             telemetry,
             core,
             book: Book::new(HashMap::new(), 0),
-            links,
+            connections,
             peers: None,
             books: None,
             waiting: VecDeque::new(),
@@ -199,7 +199,7 @@
             Input::Ask(ask) => self.ask(ask),
             Input::Gone(id) => self.gone(id),
             Input::Ended(ended) => self.ended(*ended),
-            Input::LinkClosed { link, broke } => self.links.closed(link, broke),
+            Input::ConnectionClosed { connection, broke } => self.connections.closed(connection, broke),
             Input::Peer { from, bytes } => {
                 add(&self.telemetry.peer_in);
                 self.handle(Event::Peer { from: GatewayNo(from), bytes });
@@ -217,7 +217,7 @@
             self.expiries.pop();
             let out = self.held.get(&id).and_then(|h| h.attempts.get(usize::from(attempt)));
             if let Some(out) = out.filter(|o| !o.ended) {
-                self.links.stop(out.link, id, attempt);
+                self.connections.stop(out.connection, id, attempt);
                 let outcome = if out.waiting { Outcome::Moot } else { Outcome::TimedOut };
                 add(&self.telemetry.timed_out);
                 self.ended(Ended::without_answer(id, attempt, outcome));
@@ -282,7 +282,7 @@
         let unsure = outcome == Outcome::Ok && repeat && units.is_none();
         out.doubtful = ran || unsure;
         let (backend, node, took) = (out.backend, out.address, self.runtime.now().saturating_sub(out.sent));
-        self.links.ended(out.link);
+        self.connections.ended(out.connection);
         if outcome == Outcome::ConnectFailed {
             add(&self.telemetry.connect_failed);
         }
@@ -340,7 +340,7 @@
             }
         }
         let listed = &self.listed;
-        self.links.retain(&|id| listed.contains_key(&id));
+        self.connections.retain(&|id| listed.contains_key(&id));
         // An attempt that was decided before this and waits for its connection would come to one that drains, after its grace
         // as well.
         let closed: BTreeSet<BackendId> =
@@ -350,7 +350,7 @@
             for (n, out) in
                 (0..).zip(&held.attempts).filter(|(_, o)| !o.ended && !o.waiting && gone(&o.backend))
             {
-                self.links.withdraw(out.link, *id, n);
+                self.connections.withdraw(out.connection, *id, n);
             }
         }
         self.handle(Event::Roster(kind, lines.into_iter().map(|l| l.0).collect()));
@@ -395,7 +395,7 @@
                     self.moot(id, attempt);
                     return self.forget(id);
                 }
-                self.links.stop(out.link, id, attempt);
+                self.connections.stop(out.connection, id, attempt);
             }
             Action::SetTimer { delay, token } => {
                 self.set += 1;
@@ -412,7 +412,7 @@
                     }
                 }
             }
-            Action::CloseIdle(backend) => self.links.close_idle(backend),
+            Action::CloseIdle(backend) => self.connections.close_idle(backend),
             Action::Log(text) => tracing::info!(target: "chalkgap::module", "{text}"),
             // Not permitted by the settings that the module was given.
             Action::Probe(_) | Action::Count { .. } | Action::Watch(_) | Action::FetchRoster => {}
@@ -432,7 +432,7 @@
         held.attempts.push(Out {
             backend,
             address: address.unwrap_or_else(|| SocketAddr::from(([0, 0, 0, 0], 0))),
-            link: 0,
+            connection: 0,
             sent: now,
             ended: false,
             waiting: false,
@@ -499,8 +499,8 @@
         let Some(out) = held.attempts.get_mut(usize::from(attempt)).filter(|o| !o.ended) else { return };
         (out.waiting, out.sent) = (false, now);
         let (backend, address) = (out.backend, self.listed.get(&out.backend).copied());
-        match address.and_then(|a| self.links.start(backend, a, call)) {
-            Some(link) => out.link = link,
+        match address.and_then(|a| self.connections.start(backend, a, call)) {
+            Some(connection) => out.connection = connection,
             // Every connection to it is full, or it is listed no more: nothing was written.
             None => self.moot(id, attempt),
         }
@@ -556,7 +556,7 @@
         // What has not begun does not begin for a client that has its answer or has left, whether or not the settings let an
         // attempt be called off that has.
         for (n, out) in (0..).zip(&held.attempts).filter(|(_, o)| !o.ended && !o.waiting) {
-            self.links.withdraw(out.link, id, n);
+            self.connections.withdraw(out.connection, id, n);
         }
         let ask = &held.ask;
         // The front bounds its asks by the room of this channel; if it is closed, the client is gone.
--- a/crates/gateway/src/instance.rs
+++ b/crates/gateway/src/instance.rs
@@ -12,7 +12,7 @@
 use crate::settings::{Compiled, ListSource, Settings, SettingsError};
 use crate::sources;
 use crate::telemetry::{add, Counts, Telemetry};
-use crate::upstream::Links;
+use crate::upstream::Connections;
 use async_channel::{Receiver, Sender};
 use chalkgap_core::Gateway;
 use chalkgap_pipe::while_alive;
@@ -141,7 +141,8 @@
             desk.tasks(writer, driver.clone(), &killed).into_iter().for_each(start);
         }
         let core = Gateway::new(settings.core(), runtime.random(), born);
-        let links = Links::new(runtime.clone(), settings.clone(), driver.clone(), killed.clone(), &name);
+        let connections =
+            Connections::new(runtime.clone(), settings.clone(), driver.clone(), killed.clone(), &name);
         let limits = &settings.settings.limits;
         let figures = Figures {
             ingresses: fleet.ingresses,
@@ -150,7 +151,7 @@
             pause: if limits.retry_after { limits.max_retry_after_ms * 1000 } else { 0 },
         };
         let book = Book::new(settings.zones.clone(), settings.settings.nodes.most);
-        let main = Driver::new(runtime.clone(), figures, telemetry.clone(), core, links, input)
+        let main = Driver::new(runtime.clone(), figures, telemetry.clone(), core, connections, input)
             .reading(book)
             .telling(peers)
             .booking(desk, settings.clone(), name.clone());
--- a/crates/gateway/src/messages.rs
+++ b/crates/gateway/src/messages.rs
@@ -112,9 +112,9 @@
     /// An attempt ended.
     Ended(Box<Ended>),
     /// A connection to a node has ended, or will with the attempt that is out on it.
-    LinkClosed {
+    ConnectionClosed {
         /// Its number.
-        link: u64,
+        connection: u64,
         /// It broke as soon as it was written to.
         broke: bool,
     },
@@ -176,12 +176,12 @@
     /// Hands a call to a connection and gives the connection's number; none: there is no room, nothing was written.
     fn start(&mut self, backend: BackendId, address: SocketAddr, call: Call<Self::Work>) -> Option<u64>;
     /// An attempt is called off, or its time is up.
-    fn stop(&mut self, link: u64, id: RequestId, attempt: u16);
+    fn stop(&mut self, connection: u64, id: RequestId, attempt: u16);
     /// Nobody waits for a call any more, or its backend may get nothing new: if nothing of it was written, nothing is, and
     /// it ends as moot. One that has begun goes on.
-    fn withdraw(&mut self, link: u64, id: RequestId, attempt: u16);
+    fn withdraw(&mut self, connection: u64, id: RequestId, attempt: u16);
     /// A call of this connection has ended.
-    fn ended(&mut self, link: u64);
+    fn ended(&mut self, connection: u64);
     /// The connection has ended, or will with the attempt that is out on it; `broke`: as soon as it was written to.
     fn closed(&mut self, _link: u64, _broke: bool) {}
     /// Forgets nodes that are not listed: their connections end with their last call.
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -1,4 +1,4 @@
-//! Connections to nodes: HTTP/2, pooled, one gRPC call an attempt. Each connection is a task; [`Links`] is the
+//! Connections to nodes: HTTP/2, pooled, one gRPC call an attempt. Each connection is a task; [`Connections`] is the
 //! driver's side of them. What passed on the connection gives the outcome; when in doubt the attempt may have run.
 
 use crate::messages::{self, request_name, Ended, Input, Upstream, Work};
@@ -38,7 +38,7 @@
     Close,
 }
 
-struct Link {
+struct PooledConnection {
     backend: BackendId,
     commands: Sender<Command>,
     /// It takes new calls: the node has not said that it goes away.
@@ -47,10 +47,10 @@
 }
 
 /// All connections to nodes, as the driver sees them.
-pub struct Links {
+pub struct Connections {
     world: World,
     kill: Receiver<()>,
-    links: HashMap<u64, Link>,
+    connections: HashMap<u64, PooledConnection>,
     pools: BTreeMap<BackendId, Vec<u64>>,
     next: u64,
     most: usize,
@@ -66,7 +66,7 @@
     name: Arc<str>,
 }
 
-impl Links {
+impl Connections {
     pub(crate) fn new(
         runtime: Shared,
         settings: Arc<Compiled>,
@@ -76,41 +76,41 @@
     ) -> Self {
         let most = settings.settings.descriptors.nodes as usize;
         let world = World { runtime, settings, driver, name: name.into() };
-        Links { world, kill, links: HashMap::new(), pools: BTreeMap::new(), next: 1, most }
+        Connections { world, kill, connections: HashMap::new(), pools: BTreeMap::new(), next: 1, most }
     }
 
     /// Tells a connection; nothing happens where it has ended.
-    fn command(&self, link: u64, command: Command) {
-        if let Some(l) = self.links.get(&link) {
+    fn command(&self, connection: u64, command: Command) {
+        if let Some(l) = self.connections.get(&connection) {
             let _ = l.commands.try_send(command);
         }
     }
 }
 
-impl Upstream for Links {
+impl Upstream for Connections {
     type Work = Work;
 
     fn start(&mut self, backend: BackendId, address: SocketAddr, call: Call) -> Option<u64> {
         let limits = &self.world.settings.settings.upstream;
-        let (most, connections) = (limits.max_streams, limits.connections);
+        let (most, wanted) = (limits.max_streams, limits.connections);
         let pool = self.pools.entry(backend).or_default();
-        let links = &mut self.links;
+        let connections = &mut self.connections;
         pool.retain(|n| {
-            let alive = links.get(n).is_some_and(|l| l.out > 0 || !l.commands.is_closed());
+            let alive = connections.get(n).is_some_and(|l| l.out > 0 || !l.commands.is_closed());
             if !alive {
-                links.remove(n);
+                connections.remove(n);
             }
             alive
         });
         let open = |n: &&u64| {
-            let l = &links[*n];
+            let l = &connections[*n];
             l.out < most && !l.commands.is_closed() && l.usable.load(Ordering::Relaxed)
         };
-        let usable = pool.iter().filter(|n| links[*n].usable.load(Ordering::Relaxed)).count();
-        let number = match pool.iter().filter(open).min_by_key(|n| links[*n].out) {
+        let usable = pool.iter().filter(|n| connections[*n].usable.load(Ordering::Relaxed)).count();
+        let number = match pool.iter().filter(open).min_by_key(|n| connections[*n].out) {
             Some(n) => *n,
             // As many as have a descriptor set aside for them, whatever clients hold.
-            None if usable < connections && pool.len() < 2 * connections && links.len() < self.most => {
+            None if usable < wanted && pool.len() < 2 * wanted && connections.len() < self.most => {
                 let n = self.next;
                 self.next += 1;
                 // A start and a stop for each of the calls that `out` allows, and the word to close.
@@ -118,42 +118,42 @@
                 let usable = Arc::new(AtomicBool::new(true));
                 let task = run(self.world.clone(), address, receiver, usable.clone(), self.kill.clone());
                 self.world.runtime.spawn(Box::pin(while_alive(self.kill.clone(), task))).detach();
-                links.insert(n, Link { backend, commands, usable, out: 0 });
+                connections.insert(n, PooledConnection { backend, commands, usable, out: 0 });
                 pool.push(n);
                 n
             }
             None => return None,
         };
-        let link = links.get_mut(&number)?;
-        link.commands.try_send(Command::Start(Box::new(call))).ok()?;
-        link.out += 1;
+        let connection = connections.get_mut(&number)?;
+        connection.commands.try_send(Command::Start(Box::new(call))).ok()?;
+        connection.out += 1;
         Some(number)
     }
 
-    fn stop(&mut self, link: u64, id: RequestId, attempt: u16) {
-        self.command(link, Command::Stop { id, attempt });
+    fn stop(&mut self, connection: u64, id: RequestId, attempt: u16) {
+        self.command(connection, Command::Stop { id, attempt });
     }
 
-    fn withdraw(&mut self, link: u64, id: RequestId, attempt: u16) {
-        self.command(link, Command::Withdraw { id, attempt });
+    fn withdraw(&mut self, connection: u64, id: RequestId, attempt: u16) {
+        self.command(connection, Command::Withdraw { id, attempt });
     }
 
-    fn ended(&mut self, link: u64) {
-        let Some(l) = self.links.get_mut(&link) else { return };
+    fn ended(&mut self, connection: u64) {
+        let Some(l) = self.connections.get_mut(&connection) else { return };
         l.out = l.out.saturating_sub(1);
         if l.out == 0 && !self.pools.contains_key(&l.backend) {
-            self.links.remove(&link); // its node is listed no more
+            self.connections.remove(&connection); // its node is listed no more
         }
     }
 
     fn retain(&mut self, listed: &dyn Fn(BackendId) -> bool) {
-        let links = &mut self.links;
+        let connections = &mut self.connections;
         self.pools.retain(|id, pool| {
             let keep = listed(*id);
             if !keep {
                 pool.iter().for_each(|n| {
-                    if links.get(n).is_some_and(|l| l.out == 0) {
-                        links.remove(n);
+                    if connections.get(n).is_some_and(|l| l.out == 0) {
+                        connections.remove(n);
                     }
                 });
             }
--- a/crates/platform/src/backend.rs
+++ b/crates/platform/src/backend.rs
@@ -1,8 +1,8 @@
-//! Connections to backends: each is a task that carries one request at a time; [`Links`] is the driver's side of them.
+//! Connections to backends: each is a task that carries one request at a time; [`Connections`] is the driver's side of them.
 //! What passed on the connection gives the outcome; when in doubt the attempt may have run.
 
 use crate::answer::{take, Answered, Budget};
-use crate::pool::{Pool, Way};
+use crate::pool::{Checkout, Pool};
 use crate::request::Work;
 use async_channel::{Receiver, Sender};
 use bytes::{Buf, Bytes, BytesMut};
@@ -57,7 +57,7 @@
 }
 
 /// All connections to backends.
-pub struct Links {
+pub struct Connections {
     world: World,
     kill: Receiver<()>,
     pool: Pool,
@@ -65,7 +65,7 @@
     commands: HashMap<u64, Sender<Command>>,
 }
 
-impl Links {
+impl Connections {
     /// At most `most` connections.
     pub fn new(
         runtime: Shared,
@@ -75,18 +75,18 @@
         kill: Receiver<()>,
     ) -> Self {
         let world = World { runtime, driver, figures: Arc::new(figures) };
-        Links { world, kill, pool: Pool::new(most), commands: HashMap::new() }
+        Connections { world, kill, pool: Pool::new(most), commands: HashMap::new() }
     }
 }
 
-impl Upstream for Links {
+impl Upstream for Connections {
     type Work = Work;
 
     fn start(&mut self, backend: BackendId, address: SocketAddr, call: Call<Work>) -> Option<u64> {
         let number = match self.pool.take(self.world.runtime.now(), backend, address) {
-            Way::Reuse(number) => number,
-            Way::Full => return None,
-            Way::Open { number, close } => {
+            Checkout::Reuse(number) => number,
+            Checkout::Full => return None,
+            Checkout::Open { number, close } => {
                 if let Some(victim) = close {
                     self.commands.remove(&victim);
                 }
@@ -106,41 +106,41 @@
         Some(number)
     }
 
-    fn stop(&mut self, link: u64, id: RequestId, attempt: u16) {
-        if let Some(commands) = self.commands.get(&link) {
+    fn stop(&mut self, connection: u64, id: RequestId, attempt: u16) {
+        if let Some(commands) = self.commands.get(&connection) {
             // Full: it was told already. To give an attempt up is to end its connection.
             let _ = commands.try_send(Command::Stop { id, attempt });
-            self.closed(link, false);
+            self.closed(connection, false);
         }
     }
 
-    fn withdraw(&mut self, link: u64, id: RequestId, attempt: u16) {
-        if let Some(commands) = self.commands.get(&link) {
+    fn withdraw(&mut self, connection: u64, id: RequestId, attempt: u16) {
+        if let Some(commands) = self.commands.get(&connection) {
             let _ = commands.try_send(Command::Withdraw { id, attempt }); // full: it was told already
         }
     }
 
-    fn ended(&mut self, link: u64) {
-        if !self.pool.free(self.world.runtime.now(), link) {
-            self.commands.remove(&link);
+    fn ended(&mut self, connection: u64) {
+        if !self.pool.free(self.world.runtime.now(), connection) {
+            self.commands.remove(&connection);
         }
     }
 
-    fn closed(&mut self, link: u64, broke: bool) {
-        if self.pool.closed(self.world.runtime.now(), link, broke) {
-            self.commands.remove(&link);
+    fn closed(&mut self, connection: u64, broke: bool) {
+        if self.pool.closed(self.world.runtime.now(), connection, broke) {
+            self.commands.remove(&connection);
         }
     }
 
     fn retain(&mut self, listed: &dyn Fn(BackendId) -> bool) {
-        for link in self.pool.retain(listed) {
-            self.commands.remove(&link);
+        for connection in self.pool.retain(listed) {
+            self.commands.remove(&connection);
         }
     }
 
     fn close_idle(&mut self, backend: BackendId) {
-        for link in self.pool.close_idle(backend) {
-            self.commands.remove(&link);
+        for connection in self.pool.close_idle(backend) {
+            self.commands.remove(&connection);
         }
     }
 }
@@ -163,27 +163,27 @@
 
 /// A connection's life: until nobody can give it requests any more.
 async fn run(world: World, number: u64, address: SocketAddr, commands: Receiver<Command>) {
-    let mut link = Link {
+    let mut connection = Connection {
         stream: None,
         commands: Box::pin(commands),
         alarm: Alarm::new(world.runtime.clone()),
         idle_since: 0,
     };
-    while let Some(call) = link.next(&world, number).await {
+    while let Some(call) = connection.next(&world, number).await {
         let began = world.runtime.now();
-        let idle = link.stream.is_some().then(|| began.saturating_sub(link.idle_since));
-        let answered = link.carry(&world, address, &call).await;
+        let idle = connection.stream.is_some().then(|| began.saturating_sub(connection.idle_since));
+        let answered = connection.carry(&world, address, &call).await;
         let Answered { outcome, value, report, usable } = answered;
         let now = world.runtime.now();
         let took = now.saturating_sub(began);
         tracing::debug!(backend = %address, ?outcome, took, ?idle, usable, "attempt ended");
         if usable {
-            link.idle_since = now;
+            connection.idle_since = now;
         } else {
-            link.stream = None;
+            connection.stream = None;
             // First: once it hears of the attempt's end the pool might give the connection away.
             let broke = outcome == Outcome::Reset && took < AT_ONCE;
-            let closed = Input::LinkClosed { link: number, broke };
+            let closed = Input::ConnectionClosed { connection: number, broke };
             let _ = world.driver.send(closed).await; // closed: the instance has stopped
         }
         let ended = Ended { body: value, report, ..Ended::without_answer(call.id, call.attempt, outcome) };
@@ -191,14 +191,14 @@
     }
 }
 
-struct Link {
+struct Connection {
     stream: Option<Box<dyn Stream>>,
     commands: Pin<Box<Receiver<Command>>>,
     alarm: Alarm,
     idle_since: Micros,
 }
 
-impl Link {
+impl Connection {
     /// Waits for the next request. A connection that grows too old, ends or says something unasked meanwhile is closed.
     async fn next(&mut self, world: &World, number: u64) -> Option<Box<Call<Work>>> {
         loop {
@@ -221,7 +221,8 @@
                 Some(None) => return None,
                 None => {
                     self.stream = None;
-                    let _ = world.driver.send(Input::LinkClosed { link: number, broke: false }).await;
+                    let _ =
+                        world.driver.send(Input::ConnectionClosed { connection: number, broke: false }).await;
                 }
             }
         }
--- a/crates/platform/src/ingress.rs
+++ b/crates/platform/src/ingress.rs
@@ -1,7 +1,7 @@
 //! An ingress of the platform: its parts put together, and the handle to it.
 
 use crate::answer::Budget;
-use crate::backend::{self, Links};
+use crate::backend::{self, Connections};
 use crate::config::Config;
 use crate::discovery;
 use crate::ending::Ends;
@@ -134,7 +134,7 @@
             start(Box::pin(hear));
         }
 
-        let links = Links::new(
+        let connections = Connections::new(
             runtime.clone(),
             driver.clone(),
             backend::Figures {
@@ -155,7 +155,8 @@
             pause: if limits.retry_after { limits.max_retry_after } else { 0 },
         };
         let core = Gateway::new(terms.settings.clone(), config.seed, runtime.now());
-        let main = Driver::new(runtime.clone(), figures, telemetry.clone(), core, links, input).telling(told);
+        let main =
+            Driver::new(runtime.clone(), figures, telemetry.clone(), core, connections, input).telling(told);
         let mut roster = Roster::new(terms.zones.clone(), terms.kinds.clone());
         if let Some(list) = &config.known {
             let (kind, lines) = roster.known(runtime.now(), list);
--- a/crates/platform/src/pool.rs
+++ b/crates/platform/src/pool.rs
@@ -26,12 +26,12 @@
 /// then ends as a reset and may have run, which costs far more than a new connection does. It acts only where requests
 /// on idle connections break at once clearly more often than on new ones; would do harm if new connections were dear.
 #[derive(Default)]
-struct Wear {
+struct StaleStatistics {
     /// New connections first, then by age: uses, breaks, and when they were last faded.
     ages: [(f64, f64, Micros); AGES + 1],
 }
 
-impl Wear {
+impl StaleStatistics {
     fn place(age: Option<Micros>) -> usize {
         age.map_or(0, |a| 1 + ((a / 1000).max(1).ilog2() as usize).min(AGES - 1))
     }
@@ -54,7 +54,7 @@
     }
 }
 
-struct Link {
+struct PooledConnection {
     backend: BackendId,
     address: SocketAddr,
     /// How long it had been idle when its request came; none for a new one.
@@ -67,7 +67,7 @@
 
 /// What an attempt goes by.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Way {
+pub enum Checkout {
     /// A connection that is there.
     Reuse(u64),
     /// A new one of this number; another, idle one is to be closed for it.
@@ -84,90 +84,95 @@
 /// The connections.
 pub struct Pool {
     most: usize,
-    links: HashMap<u64, Link>,
+    connections: HashMap<u64, PooledConnection>,
     idle: HashMap<BackendId, BTreeSet<(Micros, u64)>>,
     /// All idle ones, the longest idle first.
     oldest: BTreeSet<(Micros, u64)>,
     next: u64,
-    wear: Wear,
+    stale: StaleStatistics,
 }
 
 impl Pool {
     /// A pool of at most `most` connections.
     pub fn new(most: usize) -> Self {
-        let (links, idle, oldest, wear) = Default::default();
-        Pool { most, links, idle, oldest, next: 1, wear }
+        let (connections, idle, oldest, stale) = Default::default();
+        Pool { most, connections, idle, oldest, next: 1, stale }
     }
 
     /// How many connections there are.
     pub fn count(&self) -> usize {
-        self.links.len()
+        self.connections.len()
     }
 
-    /// Finds a way for an attempt.
-    pub fn take(&mut self, now: Micros, backend: BackendId, address: SocketAddr) -> Way {
+    /// Finds a checkout for an attempt.
+    pub fn take(&mut self, now: Micros, backend: BackendId, address: SocketAddr) -> Checkout {
         let rested = (now.saturating_sub(REST), u64::MAX);
         let mut close = None;
         let last = self.idle.get(&backend).and_then(|i| i.range(..=rested).next_back()).copied();
         if let Some((since, number)) = last {
             self.unidle(number);
             let age = now.saturating_sub(since);
-            let good = self.wear.good(now, age);
-            if let Some(link) = self.links.get_mut(&number).filter(|l| good && l.address == address) {
-                (link.idle, link.age) = (None, Some(age));
-                return Way::Reuse(number);
+            let good = self.stale.good(now, age);
+            if let Some(connection) =
+                self.connections.get_mut(&number).filter(|l| good && l.address == address)
+            {
+                (connection.idle, connection.age) = (None, Some(age));
+                return Checkout::Reuse(number);
             }
-            self.links.remove(&number); // worn, or the backend is reached elsewhere by now
+            self.connections.remove(&number); // worn, or the backend is reached elsewhere by now
             close = Some(number);
         }
-        if self.links.len() >= self.most {
-            let Some((_, victim)) = self.oldest.first().copied() else { return Way::Full };
+        if self.connections.len() >= self.most {
+            let Some((_, victim)) = self.oldest.first().copied() else { return Checkout::Full };
             self.remove(victim);
             close = Some(victim);
         }
         let number = self.next;
         self.next += 1;
-        self.links.insert(number, Link { backend, address, age: None, idle: None, leaving: false });
-        Way::Open { number, close }
+        self.connections
+            .insert(number, PooledConnection { backend, address, age: None, idle: None, leaving: false });
+        Checkout::Open { number, close }
     }
 
     fn unidle(&mut self, number: u64) {
-        let Some(link) = self.links.get(&number) else { return };
-        let Some(since) = link.idle else { return };
+        let Some(connection) = self.connections.get(&number) else { return };
+        let Some(since) = connection.idle else { return };
         self.oldest.remove(&(since, number));
-        if let Some(idle) = self.idle.get_mut(&link.backend) {
+        if let Some(idle) = self.idle.get_mut(&connection.backend) {
             idle.remove(&(since, number));
             if idle.is_empty() {
-                self.idle.remove(&link.backend);
+                self.idle.remove(&connection.backend);
             }
         }
     }
 
     fn remove(&mut self, number: u64) {
         self.unidle(number);
-        self.links.remove(&number);
+        self.connections.remove(&number);
     }
 
     /// A connection's request has ended; false if the connection is to end with it.
     pub fn free(&mut self, now: Micros, number: u64) -> bool {
-        let Some(link) = self.links.get_mut(&number).filter(|l| l.idle.is_none()) else { return true };
-        if link.leaving {
-            self.links.remove(&number);
+        let Some(connection) = self.connections.get_mut(&number).filter(|l| l.idle.is_none()) else {
+            return true;
+        };
+        if connection.leaving {
+            self.connections.remove(&number);
             return false;
         }
-        self.wear.note(now, link.age, false);
-        link.idle = Some(now);
-        self.idle.entry(link.backend).or_default().insert((now, number));
+        self.stale.note(now, connection.age, false);
+        connection.idle = Some(now);
+        self.idle.entry(connection.backend).or_default().insert((now, number));
         self.oldest.insert((now, number));
         true
     }
 
     /// A connection has ended, or will with its request; `broke`: as soon as that was written. True if it is gone by this.
     pub fn closed(&mut self, now: Micros, number: u64, broke: bool) -> bool {
-        match self.links.get_mut(&number) {
-            Some(link) if link.idle.is_none() => {
-                if !std::mem::replace(&mut link.leaving, true) {
-                    self.wear.note(now, link.age, broke);
+        match self.connections.get_mut(&number) {
+            Some(connection) if connection.idle.is_none() => {
+                if !std::mem::replace(&mut connection.leaving, true) {
+                    self.stale.note(now, connection.age, broke);
                 }
                 false
             }
@@ -189,7 +194,7 @@
     /// Gives the connections to backends up that are listed no more: idle ones now, others with their requests.
     pub fn retain(&mut self, listed: &dyn Fn(BackendId) -> bool) -> Vec<u64> {
         let gone: Vec<BackendId> = self.idle.keys().copied().filter(|b| !listed(*b)).collect();
-        self.links.values_mut().filter(|l| !listed(l.backend)).for_each(|l| l.leaving = true);
+        self.connections.values_mut().filter(|l| !listed(l.backend)).for_each(|l| l.leaving = true);
         gone.into_iter().flat_map(|b| self.close_idle(b)).collect()
     }
 }
--- a/crates/platform/tests/machines.rs
+++ b/crates/platform/tests/machines.rs
@@ -8,7 +8,7 @@
 use chalkgap_platform::ending::Ends;
 use chalkgap_platform::feed::{Feed, FeedError};
 use chalkgap_platform::list::{backend, List, Roster};
-use chalkgap_platform::pool::{Pool, Way};
+use chalkgap_platform::pool::{Checkout, Pool};
 use chalkgap_platform::request::{Grammar, Invalid};
 use chalkgap_platform::session::{Session, MOST_OPEN};
 use chalkgap_platform::Config;
@@ -200,8 +200,8 @@
 #[test]
 fn the_connection_used_last_goes_first_after_a_rest() {
     let mut pool = Pool::new(8);
-    let open = |way| match way {
-        Way::Open { number, close: None } => number,
+    let open = |checkout| match checkout {
+        Checkout::Open { number, close: None } => number,
         other => panic!("{other:?}"),
     };
     let (one, two) = (open(pool.take(0, A, at(1))), open(pool.take(0, A, at(1))));
@@ -209,10 +209,10 @@
     let three = open(pool.take(1_100_000, B, at(2)));
     assert_eq!(
         pool.take(1_101_000, A, at(1)),
-        Way::Reuse(one),
+        Checkout::Reuse(one),
         "the other rests: noise may follow its answer"
     );
-    assert_eq!(pool.take(1_200_000, A, at(1)), Way::Reuse(two));
+    assert_eq!(pool.take(1_200_000, A, at(1)), Checkout::Reuse(two));
     pool.free(1_300_000, two);
     assert!(!pool.closed(1_200_000, one, false), "it carries a request, and ends with it");
     assert!(!pool.free(1_300_000, one));
@@ -220,7 +220,7 @@
     assert_eq!(pool.count(), 1);
     // A backend that is reached elsewhere by now is not asked where it was.
     pool.free(1_400_000, three);
-    assert_eq!(pool.take(2_000_000, B, at(3)), Way::Open { number: 4, close: Some(three) });
+    assert_eq!(pool.take(2_000_000, B, at(3)), Checkout::Open { number: 4, close: Some(three) });
     assert_eq!(pool.count(), 1);
 }
 
@@ -234,18 +234,18 @@
     let mut play = |pool: &mut Pool, now: &mut u64, idle: u64, breaks: bool| {
         *now += idle;
         match pool.take(*now, A, at(1)) {
-            Way::Reuse(n) => {
+            Checkout::Reuse(n) => {
                 if breaks {
                     pool.closed(*now, n, true);
                 }
                 pool.free(*now, n);
                 true
             }
-            Way::Open { number, .. } => {
+            Checkout::Open { number, .. } => {
                 pool.free(*now, number);
                 false
             }
-            Way::Full => panic!("there is room"),
+            Checkout::Full => panic!("there is room"),
         }
     };
     for n in 0..30 {
@@ -266,10 +266,10 @@
     let mut pool = Pool::new(2);
     pool.take(0, A, at(1));
     pool.take(0, A, at(1));
-    assert_eq!(pool.take(0, B, at(2)), Way::Full);
+    assert_eq!(pool.take(0, B, at(2)), Checkout::Full);
     pool.free(5, 2);
-    assert_eq!(pool.take(6, B, at(2)), Way::Open { number: 3, close: Some(2) });
-    assert_eq!(pool.take(7, B, at(2)), Way::Full);
+    assert_eq!(pool.take(6, B, at(2)), Checkout::Open { number: 3, close: Some(2) });
+    assert_eq!(pool.take(7, B, at(2)), Checkout::Full);
     assert_eq!(pool.count(), 2);
 }
 
