--- a/crates/admission/tests/decider.rs
+++ b/crates/admission/tests/decider.rs
@@ -483,10 +483,20 @@
     Request(u8),
     Ended(u8, Option<bool>, bool),
     Closed(u8),
+    Lingers(u8),
     Budget(u8),
     Pass(u32),
 }
 
+/// How far a connection is on its way out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum On {
+    Serves,
+    Leaves,
+    Lingers,
+    Cut,
+}
+
 fn step() -> impl Strategy<Value = Step> {
     prop_oneof![
         6 => any::<u8>().prop_map(Step::Offer),
@@ -494,19 +504,21 @@
         3 => any::<u8>().prop_map(Step::Request),
         3 => (any::<u8>(), any::<Option<bool>>(), any::<bool>()).prop_map(|(n, s, r)| Step::Ended(n, s, r)),
         3 => any::<u8>().prop_map(Step::Closed),
+        2 => any::<u8>().prop_map(Step::Lingers),
         1 => (5u8..40).prop_map(Step::Budget),
         1 => (0u32..3_000_000).prop_map(Step::Pass),
     ]
 }
 
 proptest! {
-    /// No order of events passes the budget, breaks the reserve, or evicts one with a request.
+    /// No order of events passes the budget, breaks the reserve, evicts one with a request, or has somebody linger with a
+    /// descriptor that is wanted.
     #[test]
     fn any_order(steps in proptest::collection::vec(step(), 0..400)) {
         let mut budget = Budget { clients: 30, nodes: 1, spare: 3 };
         let mut a = Admission::new(Caps { per_second: 1000.0, ..caps() }, budget, known());
         let (mut now, mut next) = (T0, 0u64);
-        let mut open: Vec<(ConnId, u32, bool)> = Vec::new();
+        let mut open: Vec<(ConnId, u32, On)> = Vec::new();
         for s in steps {
             let len = open.len();
             let pick = |n: u8| (len > 0).then(|| usize::from(n) % len);
@@ -515,7 +527,7 @@
                     next += 1;
                     let address = if n % 4 == 0 { Ipv4Addr::new(10, 9, n, 1).into() } else { far(u32::from(n)) };
                     let standing = a.standing(now, address);
-                    let before = open.iter().filter(|c| !c.2).count() as u64;
+                    let before = open.iter().filter(|c| c.2 == On::Serves).count() as u64;
                     match a.offered(now, ConnId(next), address) {
                         Offer::Accept { evict } => {
                             prop_assert!((len as u64) < budget.clients + budget.spare);
@@ -526,21 +538,21 @@
                             }
                             if let Some(v) = evict {
                                 let c = open.iter_mut().find(|c| c.0 == v).expect("one that is open");
-                                prop_assert!(c.1 == 0 && !c.2, "evicted with a request, or twice");
-                                c.2 = true;
+                                prop_assert!(c.1 == 0 && c.2 == On::Serves, "evicted with a request, or twice");
+                                c.2 = On::Leaves;
                             }
-                            open.push((ConnId(next), 0, false));
+                            open.push((ConnId(next), 0, On::Serves));
                         }
                         Offer::Refuse { pause, .. } => prop_assert!(pause > 0),
                     }
                 }
                 Step::Shaken(n) => pick(n).into_iter().for_each(|i| a.handshaken(now, open[i].0)),
-                Step::Request(n) => if let Some(i) = pick(n) {
+                Step::Request(n) => if let Some(i) = pick(n).filter(|i| open[*i].2 <= On::Leaves) {
                     a.request(now, open[i].0);
                     open[i].1 += 1;
-                    if open[i].2 {
+                    if open[i].2 == On::Leaves {
                         a.stays(now, open[i].0);
-                        open[i].2 = false;
+                        open[i].2 = On::Serves;
                     }
                 },
                 Step::Ended(n, served, refused) => if let Some(i) = pick(n).filter(|i| open[*i].1 > 0) {
@@ -550,16 +562,28 @@
                 Step::Closed(n) => if let Some(i) = pick(n) {
                     a.closed(now, open.swap_remove(i).0);
                 },
+                Step::Lingers(n) => if let Some(i) = pick(n).filter(|i| open[*i].1 == 0) {
+                    a.lingers(now, open[i].0);
+                    open[i].2 = open[i].2.max(On::Lingers);
+                }
                 Step::Budget(n) => {
                     budget.clients = u64::from(n);
                     for id in a.rebudget(now, budget) {
                         let c = open.iter_mut().find(|c| c.0 == id).expect("one that is open");
-                        prop_assert!(c.1 == 0 && !c.2);
-                        c.2 = true;
+                        prop_assert!(c.1 == 0 && c.2 == On::Serves);
+                        c.2 = On::Leaves;
                     }
                 }
                 Step::Pass(by) => now += u64::from(by),
             }
+            for id in a.wanted() {
+                let c = open.iter_mut().find(|c| c.0 == id).expect("one that is open");
+                prop_assert!(c.2 == On::Lingers, "cut while it serves, or twice");
+                c.2 = On::Cut;
+            }
+            let held = open.iter().filter(|c| c.2 < On::Cut).count() as u64;
+            let lingers = open.iter().any(|c| c.2 == On::Lingers);
+            prop_assert!(!lingers || held <= budget.clients + budget.spare / 2, "{held} held, and some linger");
             prop_assert_eq!(a.open_by_standing().iter().sum::<u64>(), open.len() as u64);
         }
         for (id, ..) in open {
--- a/crates/cli/tests/platform_faults.rs
+++ b/crates/cli/tests/platform_faults.rs
@@ -404,7 +404,8 @@
 struct History {
     ends: Vec<End>,
     arrivals: Vec<Arrival>,
-    killed: Vec<(usize, f64)>,
+    /// From just before until it was dead.
+    killed: Vec<(usize, f64, f64)>,
     drained: (usize, f64),
 }
 
@@ -424,8 +425,9 @@
                 "value" if !came.contains_key(&e.id) => breaks("an answer that nobody made"),
                 "closed" => {
                     // A process that was killed owes nothing; one that ended in order had not taken it.
-                    let fell =
-                        |(i, at): &(usize, f64)| *i == e.process && e.sent <= at + 0.1 && e.ended >= at - 0.1;
+                    let fell = |(i, before, dead): &(usize, f64, f64)| {
+                        *i == e.process && e.sent <= *dead && e.ended >= *before
+                    };
                     if came.contains_key(&e.id) && !self.killed.iter().any(fell) {
                         breaks("taken, and not answered");
                     }
@@ -460,7 +462,7 @@
             arrival(5, "sig-check"),
             arrival(5, "sig-check"),
         ],
-        killed: vec![(1, 1.15)],
+        killed: vec![(1, 1.15, 1.16)],
         drained: (3, 0.5),
     };
     assert_eq!(good.broken(), Vec::<String>::new());
@@ -496,8 +498,9 @@
         let i = rng.random_range(0..4);
         match rng.random_range(0..4) {
             0 => {
-                killed.push((i, fleet.now()));
+                let before = fleet.now();
                 fleet.kill(i);
+                killed.push((i, before, fleet.now()));
                 sleep(ms(rng.random_range(0..300)));
                 fleet.run(i);
             }
