--- a/crates/platform/src/discovery.rs
+++ b/crates/platform/src/discovery.rs
@@ -105,6 +105,8 @@
             if !std::mem::replace(&mut told, true) {
                 // Once for each time that it is lost: the calls that fail after it say nothing new.
                 tracing::warn!(discovery = %address, %error, "no news of backends, the last list stays");
+            } else {
+                tracing::debug!(discovery = %address, %error, "still no news of backends");
             }
             // Work that a service refuses is work to it all the same: hundreds that ask it five times a second keep it from
             // ever serving one of them. Who waited for a turn in vain waits as long and longer before the next.
