Tests: a fleet's addresses and configurations, and lists of backends, are made in one place

The list of backends was cut out of a configuration's text in four files, and two made the same addresses and changes for the processes of a fleet. Quotas' fleets keep the settings' drain grace, which they do not use. No check changes.

--- a/crates/cli/tests/platform.rs
+++ b/crates/cli/tests/platform.rs
@@ -12,9 +12,7 @@
 mod running;
 
 fn known(ports: &[u16], seq: u64) -> String {
-    let text = config(1, 0, ports);
-    let from = text.find("\"known\":").unwrap() + 8;
-    text[from..text.find(",\"settings\"").unwrap()].replace("\"seq\":1", &format!("\"seq\":{seq}"))
+    common::known(ports).replace("\"seq\":1", &format!("\"seq\":{seq}"))
 }
 
 #[test]
--- a/crates/cli/tests/platform_faults.rs
+++ b/crates/cli/tests/platform_faults.rs
@@ -2,13 +2,13 @@
 //! for a while, restarted in order, backends that drain, hang and fail. What must hold all the same is judged from outside, by
 //! what clients and backends saw.
 
-use common::{config, discovery, Act, Client, Discovery, Gate, Journal};
+use common::{discovery, Act, Client, Discovery, Gate, Journal};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 use running::Running;
 use rustix::process::Signal;
 use std::collections::btree_map::{BTreeMap, Entry};
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread::{sleep, JoinHandle};
@@ -25,12 +25,6 @@
     Duration::from_millis(n)
 }
 
-/// Each process has an address of its own, and so has each fleet of each run of the tests.
-fn address(fleet: u8, no: usize) -> Ipv4Addr {
-    let pid = std::process::id();
-    Ipv4Addr::new(127, 64 + (pid % 127) as u8, (pid / 127 % 250) as u8 + 1, fleet * 16 + no as u8 + 1)
-}
-
 /// A whole command as a backend got it.
 #[derive(Clone, Debug)]
 struct Arrival {
@@ -85,10 +79,8 @@
             })
         };
         let ports: Vec<u16> = moods.into_iter().enumerate().map(backend).collect();
-        let text = config(1, 0, &ports);
-        let from = text.find("\"known\":").unwrap() + 8;
-        let known = text[from..text.find(",\"settings\"").unwrap()].to_owned();
-        let hears = (0..n).map(|i| SocketAddr::from((address(no, i), 7946))).collect();
+        let known = common::known(&ports);
+        let hears = (0..n).map(|i| running::hears(no, i)).collect();
         let mut fleet = Fleet {
             begin,
             no,
@@ -106,29 +98,14 @@
     }
 
     fn listens(&self, i: usize) -> SocketAddr {
-        (address(self.no, i), 6379).into()
+        running::listens(self.no, i)
     }
 
     /// Starts a process, which is ready then; one that runs under its number is killed.
     fn run(&mut self, i: usize) {
         self.processes[i] = None;
-        let n = self.processes.len();
-        let peers: Vec<String> = self.wires.peers_of(i).iter().map(|a| format!("\"{a}\"")).collect();
-        let plain = vec!["\"127.0.0.1:1\""; n].join(",");
-        let mut text = config(n as u16, self.discovery.port, &self.ports);
-        let own = [
-            (plain, peers.join(",")),
-            ("\"slot_no\":0".into(), format!("\"slot_no\":{i}")),
-            ("\"listen\":\"127.0.0.1:0\"".into(), format!("\"listen\":\"{}\"", self.listens(i))),
-            (
-                "\"peer_listen\":\"127.0.0.1:0\"".into(),
-                format!("\"peer_listen\":\"{}:7946\"", address(self.no, i)),
-            ),
-        ];
-        for (from, to) in own.iter().chain(&self.changes) {
-            assert!(text.contains(from), "{from}");
-            text = text.replace(from, to);
-        }
+        let text = running::member(self.no, i, &self.wires.peers_of(i), self.discovery.port, &self.ports);
+        let text = running::changed(text, &self.changes);
         let running = Running::start(&format!("faults-{}-{i}", self.no), &text);
         let mut client = Client::connect(running.address);
         client.send(&["PING"]);
@@ -161,14 +138,10 @@
 const HEAVY: std::ops::Range<u64> = 0..6;
 const LIGHT: std::ops::Range<u64> = 6..12;
 
-fn quota() -> [(&'static str, &'static str); 2] {
-    [
-        ("\"quota_rate\":1000000.0,\"burst\":1000000.0", "\"quota_rate\":10.0,\"burst\":5.0"),
-        // Answers that come at once leave no pressure on the ladder: what is refused here is refused by the quota.
-        ("\"drain_grace_us\":2000000", "\"drain_grace_us\":1000000"),
-    ]
-}
+const QUOTA: [(&str, &str); 1] =
+    [("\"quota_rate\":1000000.0,\"burst\":1000000.0", "\"quota_rate\":10.0,\"burst\":5.0")];
 
+/// Answers that come at once leave no pressure on the ladder: what is refused is refused by the quota.
 fn quick() -> Mood {
     Arc::new(|_| Act::Say(common::GOOD))
 }
@@ -211,13 +184,13 @@
     (HEAVY.start..LIGHT.end).map(ask).collect()
 }
 
-/// The share of what was let through that is beyond quotas, over spans that begin with full stores.
-fn beyond(fleet: &Fleet, from: f64, to: f64, stores: f64) -> f64 {
+/// The share of what was let through that is beyond quotas, over a span that begins with full stores.
+fn beyond(fleet: &Fleet, from: f64, to: f64) -> f64 {
     let (mut over, mut all) = (0.0, 0.0);
     for customer in HEAVY.start..LIGHT.end {
         let through = fleet.through(customer, from, to);
         all += through;
-        over += (through - (RATE * (to - from) + BURST * stores)).max(0.0);
+        over += (through - (RATE * (to - from) + BURST)).max(0.0);
     }
     println!("{from:.1} to {to:.1} s: {over:.0} of {all} units beyond quotas");
     over / all
@@ -227,14 +200,14 @@
 /// pays; and quotas are not held by refusing what they allow.
 #[test]
 fn quotas_hold_for_the_fleet_on_a_quiet_day() {
-    let fleet = Fleet::start(0, 4, vec![quick(), quick(), quick()], &quota());
+    let fleet = Fleet::start(0, 4, vec![quick(), quick(), quick()], &QUOTA);
     let stop = Arc::new(AtomicBool::new(false));
     let (from, clients) = (fleet.now(), customers(&fleet, &stop));
     sleep(ms(6000));
     stop.store(true, Ordering::SeqCst);
     let to = fleet.now();
     let asked: Vec<(u64, u64)> = clients.into_iter().map(|c| c.join().unwrap()).collect();
-    assert!(beyond(&fleet, from, to, 1.0) <= 0.1);
+    assert!(beyond(&fleet, from, to) <= 0.1);
     for (customer, asked) in asked {
         let allowed = (asked as f64).min(RATE * (to - from) + BURST);
         let through = fleet.through(customer, from, to);
@@ -248,7 +221,7 @@
 /// The judge finds a fleet whose processes hear nothing of each other.
 #[test]
 fn a_fleet_that_does_not_hear_itself_is_found() {
-    let fleet = Fleet::start(15, 4, vec![quick(), quick(), quick()], &quota());
+    let fleet = Fleet::start(15, 4, vec![quick(), quick(), quick()], &QUOTA);
     (0..4).for_each(|i| fleet.wires.part(&[i]));
     let stop = Arc::new(AtomicBool::new(false));
     let (from, clients) = (fleet.now(), customers(&fleet, &stop));
@@ -258,14 +231,14 @@
     clients.into_iter().for_each(|c| {
         c.join().unwrap();
     });
-    assert!(beyond(&fleet, from, to, 1.0) > 0.1);
+    assert!(beyond(&fleet, from, to) > 0.1);
 }
 
 /// The fleet falls into two halves that do not hear each other: each half lets a customer have its quota, not each process.
 /// When they hear each other again the quota holds again, within a second.
 #[test]
 fn a_cut_costs_each_side_its_quota_and_ends_when_it_ends() {
-    let fleet = Fleet::start(1, 4, vec![quick(), quick(), quick()], &quota());
+    let fleet = Fleet::start(1, 4, vec![quick(), quick(), quick()], &QUOTA);
     let stop = Arc::new(AtomicBool::new(false));
     let clients = customers(&fleet, &stop);
     sleep(ms(2500));
@@ -286,14 +259,14 @@
         println!("customer {customer}: {through} of {most:.0} in the cut");
         assert!(through <= 1.1 * most, "customer {customer}: {through} in the cut, {most} at most");
     }
-    assert!(beyond(&fleet, healed + 1.0, end, 1.0) <= 0.1, "after the cut");
+    assert!(beyond(&fleet, healed + 1.0, end) <= 0.1, "after the cut");
 }
 
 /// Half of the processes are killed and start anew, twice, with links that are cut in one direction meanwhile: a customer gets
 /// no more than a burst for each of its processes that starts anew, beside what fills.
 #[test]
 fn quotas_hold_while_processes_start_anew() {
-    let mut fleet = Fleet::start(2, 4, vec![quick(), quick(), quick()], &quota());
+    let mut fleet = Fleet::start(2, 4, vec![quick(), quick(), quick()], &QUOTA);
     let stop = Arc::new(AtomicBool::new(false));
     let (from, clients) = (fleet.now(), customers(&fleet, &stop));
     sleep(ms(1500));
@@ -319,7 +292,7 @@
         println!("customer {customer}: {through} of {most:.0} with four starts");
         assert!(through <= 1.1 * most, "customer {customer}: {through}, {most} at most");
     }
-    assert!(beyond(&fleet, from, to, 1.0) <= 0.1);
+    assert!(beyond(&fleet, from, to) <= 0.1);
 }
 
 // ---- the rules ----
--- a/crates/cli/tests/running/mod.rs
+++ b/crates/cli/tests/running/mod.rs
@@ -4,7 +4,7 @@
 use crate::common;
 use rustix::process::{kill_process, Pid, Signal};
 use std::io::{BufRead, BufReader};
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
@@ -27,6 +27,46 @@
     path
 }
 
+/// Each process has an address of its own, and so has each fleet of each run of the tests.
+pub fn address(fleet: u8, no: usize) -> Ipv4Addr {
+    let pid = std::process::id();
+    let third = (pid / 127 + u32::from(fleet)) % 250 + 1;
+    Ipv4Addr::new(127, 64 + (pid % 127) as u8, third as u8, no as u8 + 1)
+}
+
+/// Where a fleet's process listens for clients.
+pub fn listens(fleet: u8, no: usize) -> SocketAddr {
+    (address(fleet, no), 6379).into()
+}
+
+/// Where a fleet's process hears its peers.
+pub fn hears(fleet: u8, no: usize) -> SocketAddr {
+    (address(fleet, no), 7946).into()
+}
+
+/// A text with each of these changed for another, which must be there.
+pub fn changed(mut text: String, changes: &[(String, String)]) -> String {
+    for (from, to) in changes {
+        assert!(text.contains(from), "{from}");
+        text = text.replace(from, to);
+    }
+    text
+}
+
+/// The configuration of a fleet's `no`-th process; `peers`: where it reaches each, by their numbers.
+pub fn member(fleet: u8, no: usize, peers: &[SocketAddr], discovery: u16, backends: &[u16]) -> String {
+    let n = peers.len();
+    let text = common::config(n as u16, discovery, backends);
+    let peers: Vec<String> = peers.iter().map(|a| format!("\"{a}\"")).collect();
+    let own = [
+        (vec!["\"127.0.0.1:1\""; n].join(","), peers.join(",")),
+        ("\"slot_no\":0".into(), format!("\"slot_no\":{no}")),
+        ("\"listen\":\"127.0.0.1:0\"".into(), format!("\"listen\":\"{}\"", listens(fleet, no))),
+        ("\"peer_listen\":\"127.0.0.1:0\"".into(), format!("\"peer_listen\":\"{}\"", hears(fleet, no))),
+    ];
+    changed(text, &own)
+}
+
 impl Running {
     pub fn start(name: &str, text: &str) -> Running {
         let file = file(name, text);
--- a/crates/platform/tests/common/mod.rs
+++ b/crates/platform/tests/common/mod.rs
@@ -58,6 +58,13 @@
     )
 }
 
+/// The list of backends in a configuration.
+pub fn known(backends: &[u16]) -> String {
+    let text = config(1, 0, backends);
+    let from = text.find("\"known\":").unwrap() + 8;
+    text[from..text.find(",\"settings\"").unwrap()].to_owned()
+}
+
 fn listener() -> (TcpListener, SocketAddr) {
     let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
     let address = listener.local_addr().unwrap();
--- a/crates/platform/tests/endings.rs
+++ b/crates/platform/tests/endings.rs
@@ -2,8 +2,8 @@
 //! `docs/design/endings.md`.
 
 use chalkgap_resp::put_command;
-use common::{backend, Act, Client, Gate, Journal, GOOD, PATIENCE};
-use rig::{always, first, known, next_command, scripted, until, Fixture, Late, Script};
+use common::{backend, known, Act, Client, Gate, Journal, GOOD, PATIENCE};
+use rig::{always, first, next_command, scripted, until, Fixture, Late, Script};
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
--- a/crates/platform/tests/rig/mod.rs
+++ b/crates/platform/tests/rig/mod.rs
@@ -2,7 +2,9 @@
 //! let a connection come up late, a system thread that stands still. Orders are forced by these, not hoped for.
 #![allow(dead_code)] // each test file uses its part
 
-use crate::common::{backend, command_words, config, discovery, Act, Client, Discovery, Journal, PATIENCE};
+use crate::common::{
+    backend, command_words, config, discovery, known, Act, Client, Discovery, Journal, PATIENCE,
+};
 use chalkgap_platform::{Config, Ingress};
 use chalkgap_runtime::system::System;
 use chalkgap_runtime::Runtime;
@@ -34,13 +36,6 @@
     thread: Option<std::thread::JoinHandle<()>>,
 }
 
-/// The list of backends in a configuration.
-pub fn known(ports: &[u16]) -> String {
-    let text = config(1, 0, ports);
-    let from = text.find("\"known\":").unwrap() + 8;
-    text[from..text.find(",\"settings\"").unwrap()].to_owned()
-}
-
 impl Fixture {
     /// An ingress over backends that follow their scripts.
     pub fn start(scripts: Vec<Script>) -> Fixture {
