Module: an alert that no answer renews ends, where all that came could be refused for ever

Cause: the pressure moves with answers only; with everybody refused none comes, and step_alert goes on climbing on what the last ones said. On the last rung, with nobody of the dearest plan asking, nobody passes at all. Ruled out: front and driver, the store, the bound on what is out. Changed: step_alert: with nothing out and no answer for RUNG_DOWN the pressure is nought (three lines).

--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -420,6 +420,10 @@
 
     fn step_alert(&mut self, act: &mut Vec<Action>) {
         let (since, rung) = (self.now - self.rung_since, self.rung);
+        // Who refuses all that comes hears no answers: what the last ones said must not hold an alert up for ever.
+        if self.out == 0 && self.now > self.pressure_at + RUNG_DOWN {
+            self.pressure = 0.0;
+        }
         // Refusals alone hold no alert up: cutting causes refusals, and the fleet may be idle behind them.
         let refusing = self.pressure > ALERT_OFF && self.turned_away > AWAY;
         if (self.pressure > ALERT_ON || refusing) && since > RUNG_UP && rung < LAST_RUNG {
--- a/crates/core/tests/control.rs
+++ b/crates/core/tests/control.rs
@@ -633,6 +633,32 @@
     assert_eq!(told.len(), 100, "with more changed customers than a message holds, none is left out");
 }
 
+/// A gateway that refuses all that comes hears no answers, and what the last ones said must not stand for ever: with nothing
+/// out, an alert that no answer renews ends. Seen where the one client left after a flood was refused for twenty seconds.
+#[test]
+fn an_alert_that_no_answer_renews_ends() {
+    let mut s = settings();
+    // Nobody of the dearest plan asks: on the last rung nobody passes.
+    s.plans = vec![plan(1e6, 1e6), Plan { price: 2.0, ..plan(1e6, 1e6) }];
+    let mut rig = Rig::with(s, 4);
+    let (mut let_in, mut longest, mut last_rung) = (rig.now, 0, false);
+    for step in 0..900u64 {
+        // Fast, then slow, then fast for whoever is let in.
+        let took = if (40..300).contains(&step) { 900_000 } else { 100_000 };
+        let (id, actions) = rig.ask(0, 0, step % 40, 1.0);
+        for backend in sends(&actions) {
+            let_in = rig.now;
+            rig.settle_after(id, 0, backend, Outcome::Ok, took);
+        }
+        longest = longest.max(rig.now - let_in);
+        let actions = rig.pass(50_000);
+        last_rung |= actions.iter().any(|a| matches!(a, Action::Log(l) if l.contains("rung 3 to 4")));
+    }
+    assert!(last_rung, "nobody passes");
+    assert!(longest <= 6 * S, "nobody was let in for {longest} us");
+    assert!(rig.now - let_in < S, "and in the end all are");
+}
+
 /// A rung cuts the same customers for an epoch: a refused client's retry gets the same answer.
 #[test]
 fn the_ladder_cuts_whole_customers_alike_at_all_gateways() {
