--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -420,7 +420,7 @@
 
     fn step_alert(&mut self, act: &mut Vec<Action>) {
         let (since, rung) = (self.now - self.rung_since, self.rung);
-        // Who refuses all that comes hears no answers: what the last ones said must not hold an alert up for ever.
+        // Who refuses all that comes hears no answers: what the last ones said holds no alert up for ever.
         if self.out == 0 && self.now > self.pressure_at + RUNG_DOWN {
             self.pressure = 0.0;
         }
