Platform: the log says why an idle connection to a backend was closed

Cause: a second reply that arrives before the reuse of its connection, a close by the backend and the idle timeout ended an idle connection without a trace, so a log could not tell whether a late reply had been noticed. Change: a debug line 'idle connection closed' with its reason: IdleTimeout, ClosedByBackend or SurplusBytes.

--- a/crates/platform/src/backend/connection.rs
+++ b/crates/platform/src/backend/connection.rs
@@ -49,8 +49,19 @@
     Command(ConnectionCommand),
     /// The driver dropped the connection.
     Dropped,
-    /// The connection was idle for too long, was closed by the backend, or received bytes that belong to no request.
-    Unusable,
+    /// The idle connection cannot be used any more.
+    Unusable(UnusableReason),
+}
+
+/// Why an idle connection cannot be used any more.
+#[derive(Clone, Copy, Debug)]
+enum UnusableReason {
+    /// It was idle for too long.
+    IdleTimeout,
+    /// The backend closed or reset it.
+    ClosedByBackend,
+    /// It received bytes that belong to no request.
+    SurplusBytes,
 }
 
 /// The result of connecting.
@@ -84,7 +95,8 @@
                 // The command is for an attempt that has already ended.
                 Wakeup::Command(ConnectionCommand::Stop { .. } | ConnectionCommand::Withdraw { .. }) => {}
                 Wakeup::Dropped => return None,
-                Wakeup::Unusable => {
+                Wakeup::Unusable(reason) => {
+                    tracing::debug!(backend = %self.address, ?reason, "idle connection closed");
                     self.stream = None;
                     self.context.notify_closed(self.number, false).await;
                 }
@@ -95,8 +107,10 @@
     fn poll_wakeup(&mut self, cx: &mut Context<'_>) -> Poll<Wakeup> {
         // The stream is checked before a command is taken, so that no request is written to a connection that has ended.
         if let Some(stream) = &mut self.stream {
-            if Pin::new(stream).poll_read(cx, &mut [0; 1]).is_ready() {
-                return Poll::Ready(Wakeup::Unusable);
+            match Pin::new(stream).poll_read(cx, &mut [0; 1]) {
+                Poll::Ready(Ok(1..)) => return Poll::Ready(Wakeup::Unusable(UnusableReason::SurplusBytes)),
+                Poll::Ready(_) => return Poll::Ready(Wakeup::Unusable(UnusableReason::ClosedByBackend)),
+                Poll::Pending => {}
             }
         }
         match self.commands.as_mut().poll_next(cx) {
@@ -106,7 +120,7 @@
         }
         let idle_until =
             self.stream.is_some().then_some(self.idle_since + self.context.settings.idle_timeout);
-        self.alarm.poll(idle_until, cx).map(|()| Wakeup::Unusable)
+        self.alarm.poll(idle_until, cx).map(|()| Wakeup::Unusable(UnusableReason::IdleTimeout))
     }
 
     /// Makes one attempt and reports its result to the driver.
