Platform: a reply is acknowledged at once, so that no second reply is served to the next request

Callers saw: the value of an earlier request. Cause: on a connection that has served a request the gateway's kernel delays the acknowledgement of the reply by about 40 ms, beyond the reuse delay of 20 ms, and sends it with the next request. The backend's kernel holds a small second write back until then (Nagle's algorithm), so the check of the idle connection cannot see it. Change: Stream::acknowledge (TCP_QUICKACK), called when a reply has been read whole and its connection may be used again. The second reply then arrives within the reuse delay and closes the idle connection. Where the option fails or is not there, a warning says so once and connections are reused 0.52 s after a reply (RFC 1122 allows a delay of 0.5 s).

--- a/crates/platform/src/backend/connection.rs
+++ b/crates/platform/src/backend/connection.rs
@@ -134,6 +134,9 @@
         tracing::debug!(backend = %self.address, ?outcome, elapsed_micros, ?idle_micros, reusable, "attempt ended");
         if reusable {
             self.idle_since = now;
+            if let Some(stream) = &self.stream {
+                self.context.acknowledgements.send(&**stream, self.address);
+            }
         } else {
             self.stream = None;
             // This is reported before the result of the attempt, after which the pool may choose the connection again.
--- a/crates/platform/src/backend/mod.rs
+++ b/crates/platform/src/backend/mod.rs
@@ -2,12 +2,14 @@
 //! commands to that connection's task, see [`connection`]. The bytes sent and received on a connection determine the outcome
 //! of the attempt. If they leave open whether the backend ran the request, the outcome says that it may have run.
 
+mod acknowledgements;
 mod connection;
 mod exchange;
 
 use crate::memory_budget::MemoryBudget;
 use crate::pool::{Checkout, Pool};
 use crate::request::ForwardedCommand;
+use acknowledgements::Acknowledgements;
 use async_channel::{Receiver, Sender};
 use chalkgap::frontend::{DriverEvent, OutboundAttempt, Upstream};
 use chalkgap_core::{BackendId, RequestId};
@@ -37,6 +39,7 @@
     runtime: Shared,
     driver: Sender<DriverEvent<ForwardedCommand>>,
     settings: Arc<BackendSettings>,
+    acknowledgements: Arc<Acknowledgements>,
 }
 
 impl ConnectionContext {
@@ -79,7 +82,8 @@
         max_connections: usize,
         kill: Receiver<()>,
     ) -> Self {
-        let context = ConnectionContext { runtime, driver, settings: Arc::new(settings) };
+        let acknowledgements = Arc::default();
+        let context = ConnectionContext { runtime, driver, settings: Arc::new(settings), acknowledgements };
         BackendConnections { context, kill, pool: Pool::new(max_connections), commands: HashMap::new() }
     }
 
@@ -137,6 +141,9 @@
     }
 
     fn attempt_finished(&mut self, connection: u64) {
+        if self.context.acknowledgements.are_delayed() {
+            self.pool.expect_delayed_acknowledgements();
+        }
         if !self.pool.release(self.context.runtime.now(), connection) {
             self.commands.remove(&connection);
         }
--- a/crates/platform/src/pool.rs
+++ b/crates/platform/src/pool.rs
@@ -11,9 +11,11 @@
 use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 
-/// How long a connection is not reused after a reply. Surplus bytes behind a reply may arrive some milliseconds late; they
-/// would be taken for the reply to a request that was written before they arrived.
+/// How long a connection is not reused after a reply that was acknowledged at once. Surplus bytes behind a reply may be sent
+/// some milliseconds late; they would be taken for the reply to a request that was written before they arrived.
 const REUSE_DELAY_MICROS: Micros = 20_000;
+/// Upper limit of the delay of an acknowledgement (RFC 1122, section 4.2.3.2).
+const MAX_ACKNOWLEDGEMENT_DELAY_MICROS: Micros = 500_000;
 
 /// Idle connections, ordered by the time at which they became idle and by their number.
 type IdleOrder = BTreeSet<(Micros, u64)>;
@@ -52,6 +54,7 @@
     idle_by_backend: HashMap<BackendId, IdleOrder>,
     idle: IdleOrder,
     next_number: u64,
+    reuse_delay: Micros,
     stale: StaleStatistics,
 }
 
@@ -64,10 +67,17 @@
             idle_by_backend: HashMap::new(),
             idle: BTreeSet::new(),
             next_number: 1,
+            reuse_delay: REUSE_DELAY_MICROS,
             stale: StaleStatistics::default(),
         }
     }
 
+    /// Prolongs the reuse delay because replies are not acknowledged at once. The backend's system may hold surplus bytes back
+    /// until it receives the acknowledgement of the reply.
+    pub fn expect_delayed_acknowledgements(&mut self) {
+        self.reuse_delay = MAX_ACKNOWLEDGEMENT_DELAY_MICROS + REUSE_DELAY_MICROS;
+    }
+
     /// Returns the number of connections, idle and busy.
     pub fn count(&self) -> usize {
         self.connections.len()
@@ -104,7 +114,7 @@
 
     /// Returns the most recently used idle connection to a backend, of those whose reuse delay has passed.
     fn last_used(&self, now: Micros, backend: BackendId) -> Option<(Micros, u64)> {
-        let latest = (now.saturating_sub(REUSE_DELAY_MICROS), u64::MAX);
+        let latest = (now.saturating_sub(self.reuse_delay), u64::MAX);
         self.idle_by_backend.get(&backend)?.range(..=latest).next_back().copied()
     }
 
--- a/crates/platform/tests/backend_connections.rs
+++ b/crates/platform/tests/backend_connections.rs
@@ -1,9 +1,12 @@
 //! The ways in which backend connections end. Each test forces one of them on a real connection. The table of all of them is
 //! `docs/design/endings.md`.
 
-use common::{known, BackendAction, Journal, Latch, GOOD_REPLY};
-use rig::{first, ms, next_command, scripted, wait_until, Fixture, FullListener};
+use chalkgap_runtime::faulty_runtime::FaultyRuntime;
+use chalkgap_runtime::Stream;
+use common::{discovery, known, BackendAction, Journal, Latch, GOOD_REPLY};
+use rig::{first, ms, next_command, scripted, wait_until, Fixture, FullListener, UnacknowledgedStream};
 use std::io::Write;
+use std::sync::Arc;
 
 mod common;
 mod rig;
@@ -144,6 +147,41 @@
     assert!(wrong.is_empty(), "{} wrong replies, as (request, reply): {wrong:?}", wrong.len());
 }
 
+/// Where the system cannot acknowledge a reply at once, a connection is not reused while its acknowledgement may be delayed: the
+/// second reply of a backend would be served to the next request.
+#[test]
+fn connections_are_reused_late_where_acknowledgements_are_delayed() {
+    let port = scripted(|_, mut stream| {
+        let mut buffer = bytes::BytesMut::new();
+        let mut first_on_connection = true;
+        while let Some(arguments) = next_command(&mut stream, &mut buffer) {
+            let reply = format!("*3\r\n$16\r\n{}\r\n$-1\r\n$-1\r\n", arguments[2]);
+            let _ = stream.write_all(reply.as_bytes());
+            if !first_on_connection {
+                std::thread::sleep(ms(8));
+                let _ = stream.write_all(reply.as_bytes());
+            }
+            first_on_connection = false;
+        }
+    });
+    let fixture = Fixture::start_on(
+        |system| {
+            let unacknowledged = |stream| Box::new(UnacknowledgedStream(stream)) as Box<dyn Stream>;
+            Arc::new(FaultyRuntime::new(system).connected_streams(unacknowledged))
+        },
+        Journal::default(),
+        discovery(known(&[port])),
+        &[port],
+        &[],
+    );
+    let mut client = fixture.client();
+    for id in 1..40u64 {
+        client.query(id, 2000);
+        assert_eq!(client.reply_text(), format!("{id:016x}"));
+        std::thread::sleep(ms(25)); // longer than the reuse delay after an acknowledgement
+    }
+}
+
 /// If a backend sends half a line on an idle connection, the connection is not used again, and the next requests are served.
 #[test]
 fn a_partial_line_on_an_idle_connection_is_harmless() {
--- a/crates/platform/tests/rig/mod.rs
+++ b/crates/platform/tests/rig/mod.rs
@@ -9,11 +9,14 @@
 use chalkgap_platform::{Config, Ingress};
 use chalkgap_resp::put_command;
 use chalkgap_runtime::system::System;
-use chalkgap_runtime::Runtime;
-use std::io::Read;
+use chalkgap_runtime::{Runtime, Shared, Stream};
+use futures_lite::{AsyncRead, AsyncWrite};
+use std::io::{self, Read};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::Arc;
+use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
 
 /// Chooses a backend's action for its n-th command.
@@ -67,6 +70,17 @@
         discovery: Discovery,
         ports: &[u16],
         changes: &[(&str, &str)],
+    ) -> Fixture {
+        Fixture::start_on(|system| system, journal, discovery, ports, changes)
+    }
+
+    /// Starts an ingress on the runtime that `wrap` makes of the operating system's.
+    pub fn start_on(
+        wrap: impl FnOnce(Shared) -> Shared + Send + 'static,
+        journal: Journal,
+        discovery: Discovery,
+        ports: &[u16],
+        changes: &[(&str, &str)],
     ) -> Fixture {
         let mut text = config(1, discovery.port, ports);
         for (from, to) in changes {
@@ -90,7 +104,7 @@
                 std::future::pending().await
             };
             let run_ingress = async {
-                let mut ingress = Ingress::start(config, system.clone()).await.unwrap();
+                let mut ingress = Ingress::start(config, wrap(system.clone())).await.unwrap();
                 address_sender.send(ingress.address()).unwrap();
                 let publish_open = async {
                     loop {
@@ -254,6 +268,47 @@
     }
 }
 
+/// A stream whose system cannot acknowledge at once.
+pub struct UnacknowledgedStream(pub Box<dyn Stream>);
+
+impl Stream for UnacknowledgedStream {
+    fn peer(&self) -> SocketAddr {
+        self.0.peer()
+    }
+
+    fn peer_closed(&self) -> bool {
+        self.0.peer_closed()
+    }
+
+    fn acknowledge(&self) -> io::Result<()> {
+        Err(io::ErrorKind::Unsupported.into())
+    }
+}
+
+impl AsyncRead for UnacknowledgedStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffer: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.0).poll_read(cx, buffer)
+    }
+}
+
+impl AsyncWrite for UnacknowledgedStream {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.0).poll_write(cx, bytes)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.0).poll_flush(cx)
+    }
+
+    fn poll_close(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.0).poll_close(cx)
+    }
+}
+
 const ATTRIBUTES: &str = "c=sig-check,t=team,d=4000,units=1,spread=1,first=0";
 
 /// Creates a duration from milliseconds.
--- a/crates/platform/tests/state_machines/connection_pool.rs
+++ b/crates/platform/tests/state_machines/connection_pool.rs
@@ -38,6 +38,17 @@
     assert_eq!(pool.count(), 1);
 }
 
+/// A connection must not be reused while the acknowledgement of its last reply may be delayed: at most 0.5 s by RFC 1122.
+#[test]
+fn delayed_acknowledgements_prolong_the_reuse_delay() {
+    let mut pool = Pool::new(8);
+    assert_eq!(pool.check_out(0, A, loopback(1)), Checkout::Open { number: 1, evict: None });
+    pool.expect_delayed_acknowledgements();
+    assert!(pool.release(1_000_000, 1));
+    assert_eq!(pool.check_out(1_519_999, A, loopback(1)), Checkout::Open { number: 2, evict: None });
+    assert_eq!(pool.check_out(1_520_000, A, loopback(1)), Checkout::Reuse(1));
+}
+
 /// Backends may drop idle connections without closing them. Observed in a run with many faults: a third of the requests on
 /// connections that had been idle for 100 ms ended in a reset at once, against one in 25 on other connections.
 #[test]
--- a/crates/runtime/src/faulty_runtime.rs
+++ b/crates/runtime/src/faulty_runtime.rs
@@ -1,23 +1,28 @@
-//! A runtime wrapper that replaces the files or the listeners of another runtime, for tests of system failures.
+//! A runtime wrapper that replaces the files, the listeners or the outgoing streams of another runtime, for tests of system
+//! failures.
 
 use crate::{BoxFuture, Datagrams, Files, Listener, Micros, Runtime, Shared, Stream, Task};
 use std::io;
 use std::net::{IpAddr, SocketAddr};
+use std::sync::Arc;
 
 /// Wraps each listener that the inner runtime binds.
 type WrapListener = Box<dyn Fn(Box<dyn Listener>) -> Box<dyn Listener> + Send + Sync>;
+/// Wraps each stream that the inner runtime connects.
+type WrapStream = Arc<dyn Fn(Box<dyn Stream>) -> Box<dyn Stream> + Send + Sync>;
 
 /// A runtime that delegates to another one, except for the parts that are replaced.
 pub struct FaultyRuntime {
     inner: Shared,
     files: Option<Box<dyn Files>>,
     wrap_listener: Option<WrapListener>,
+    wrap_connected: Option<WrapStream>,
 }
 
 impl FaultyRuntime {
     /// Creates a runtime that delegates everything to `inner`.
     pub fn new(inner: Shared) -> FaultyRuntime {
-        FaultyRuntime { inner, files: None, wrap_listener: None }
+        FaultyRuntime { inner, files: None, wrap_listener: None, wrap_connected: None }
     }
 
     /// Replaces the file operations.
@@ -34,6 +39,15 @@
         self.wrap_listener = Some(Box::new(wrap));
         self
     }
+
+    /// Replaces each connected stream with the result of `wrap`.
+    pub fn connected_streams(
+        mut self,
+        wrap: impl Fn(Box<dyn Stream>) -> Box<dyn Stream> + Send + Sync + 'static,
+    ) -> FaultyRuntime {
+        self.wrap_connected = Some(Arc::new(wrap));
+        self
+    }
 }
 
 impl Runtime for FaultyRuntime {
@@ -62,7 +76,11 @@
         from: Option<IpAddr>,
         to: SocketAddr,
     ) -> BoxFuture<'static, io::Result<Box<dyn Stream>>> {
-        self.inner.connect_from(from, to)
+        let connected = self.inner.connect_from(from, to);
+        match self.wrap_connected.clone() {
+            Some(wrap) => Box::pin(async move { connected.await.map(|stream| wrap(stream)) }),
+            None => connected,
+        }
     }
 
     fn datagrams(&self, at: SocketAddr) -> io::Result<Box<dyn Datagrams>> {
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -40,6 +40,12 @@
     /// Returns whether the peer is known to have shut down its write side or reset the stream, even if bytes received
     /// earlier are still unread. Consumes no bytes.
     fn peer_closed(&self) -> bool;
+    /// Acknowledges all received bytes at once. The system may otherwise delay the acknowledgement and send it with the next
+    /// write; until it arrives, the peer's system may hold back further small writes (Nagle's algorithm).
+    ///
+    /// # Errors
+    /// `Unsupported` if the system has no such operation; otherwise the system's error.
+    fn acknowledge(&self) -> io::Result<()>;
 }
 
 /// A socket that accepts streams.
--- a/crates/runtime/src/simulated_runtime.rs
+++ b/crates/runtime/src/simulated_runtime.rs
@@ -332,6 +332,10 @@
             && !link.half_open
             && (direction.reset || direction.closed && all_arrived)
     }
+
+    fn acknowledge(&self) -> io::Result<()> {
+        Ok(()) // no write of the simulation waits for an acknowledgement
+    }
 }
 
 impl futures_lite::AsyncRead for SimulatedStream {
--- a/crates/runtime/src/system.rs
+++ b/crates/runtime/src/system.rs
@@ -94,6 +94,17 @@
         let ready = poll(&mut descriptors, Some(&no_wait)).is_ok_and(|count| count > 0);
         ready && descriptors[0].revents().intersects(PollFlags::RDHUP | PollFlags::HUP | PollFlags::ERR)
     }
+
+    #[cfg(any(target_os = "linux", target_os = "android"))]
+    fn acknowledge(&self) -> io::Result<()> {
+        // Sends a delayed acknowledgement now. The option is not permanent: the next write may reset it.
+        Ok(rustix::net::sockopt::set_tcp_quickack(self.stream.get_ref(), true)?)
+    }
+
+    #[cfg(not(any(target_os = "linux", target_os = "android")))]
+    fn acknowledge(&self) -> io::Result<()> {
+        Err(io::ErrorKind::Unsupported.into())
+    }
 }
 
 struct TcpAcceptor {
