Command line: a second SIGTERM no longer cuts accepted requests off

Callers saw: connections closed without a reply while their requests ran. Cause: platform.rs and serve.rs ended the process at the next signal of a drain, on purpose; serve had no handler for SIGHUP, which ended it with no drain; a SIGTERM before 'started' was looked at after the start, and the times of the drain, which are counted from the signal by the host that kills the process, from there. Change: signals.rs decides for both commands. The first SIGTERM or SIGINT begins the shutdown; SIGTERM and SIGHUP in it are ignored and logged; a second SIGINT ends the process at once if it comes 0.5 s or more after the first. Evidence and tests, on the code before: repeated_signals_do_not_end_a_drain read the end of the connection instead of the value; serve_answers_accepted_requests_after_repeated_signals never saw its request at a node after SIGHUP, and without the SIGHUP ask ended with 11 (no answer) after the second SIGTERM; a_signal_during_the_start_ends_the_process listened 0.5 s after SIGTERM and ended 0.95 s after it.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -5,6 +5,7 @@
 mod ledger;
 mod platform;
 mod serve;
+mod signals;
 mod tools;
 
 use clap::{CommandFactory, Parser, Subcommand, ValueEnum};
@@ -49,10 +50,10 @@
 
 #[derive(Subcommand)]
 enum Command {
-    /// Run an ingress. The first SIGTERM or SIGINT drains it, the second stops it.
+    /// Run an ingress. SIGTERM or SIGINT drains it, a second SIGINT after half a second or more ends it at once.
     Serve(serve::Serve),
     /// Run an ingress on the users' platform, configured by the file that RELAY_CONFIG names. SIGHUP reloads it, SIGTERM
-    /// drains the ingress.
+    /// or SIGINT drains the ingress, a second SIGINT after half a second or more ends it at once.
     Platform,
     /// Check a settings file.
     Check {
--- a/crates/cli/src/serve.rs
+++ b/crates/cli/src/serve.rs
@@ -1,11 +1,11 @@
 //! `serve`: reads the settings, starts an ingress and handles signals. The ingress itself is in the library.
 
+use crate::signals::ProcessSignals;
 use crate::{fail, Exit};
-use async_signal::{Signal, Signals};
 use chalkgap::runtime::{system::System, Runtime};
 use chalkgap::settings::{self, Compiled, Settings};
 use chalkgap::{Instance, StartError};
-use futures_lite::{future, StreamExt};
+use futures_lite::future;
 use std::io::Write;
 use std::path::{Path, PathBuf};
 
@@ -43,7 +43,7 @@
     system.threads(args.threads);
     system.clone().run(async move {
         // Installed before the listeners open: until then, a signal would end the process without a drain.
-        let mut signals = match Signals::new([Signal::Term, Signal::Int]) {
+        let mut signals = match ProcessSignals::install(system.clone()) {
             Ok(signals) => signals,
             Err(e) => return fail(Exit::System, format!("signals: {e}")),
         };
@@ -62,18 +62,17 @@
         // If another process has taken this one's number, both together would admit twice the allowed requests, so this one
         // ends.
         let superseded = instance.superseded();
-        let signal = async {
-            signals.next().await;
-        };
-        future::or(signal, superseded).await;
+        let requested = signals
+            .shutdown_requested(|| tracing::info!("SIGHUP ignored, settings are read at the start only"));
+        future::or(requested, superseded).await;
         tracing::info!("draining");
         let until = system.now() + (args.drain.clamp(0.0, 86_400.0) * 1e6) as u64;
         let drained = instance.drain(until);
-        let second_signal = async {
-            signals.next().await;
+        let ended = async {
+            signals.end_requested().await;
             false
         };
-        let completed = future::or(drained, second_signal).await;
+        let completed = future::or(drained, ended).await;
         let counts = serde_json::to_string(&instance.counts()).unwrap_or_default();
         tracing::info!(whole = completed, counts, "stopped");
         instance.stop();
