--- a/crates/cli/tests/running/mod.rs
+++ b/crates/cli/tests/running/mod.rs
@@ -30,6 +30,13 @@
     path
 }
 
+/// Whether a process handles SIGTERM, from the mask of caught signals in `/proc`.
+pub fn handles_sigterm(child: &Child) -> bool {
+    let status = std::fs::read_to_string(format!("/proc/{}/status", child.id())).unwrap();
+    let mask = status.lines().find_map(|line| line.strip_prefix("SigCgt:")).unwrap().trim().to_owned();
+    u64::from_str_radix(&mask, 16).unwrap() & (1 << (Signal::TERM.as_raw() - 1)) != 0
+}
+
 /// Returns the address of a process. It differs between processes, fleets, and test runs at the same time.
 pub fn address(fleet: u8, no: usize) -> Ipv4Addr {
     let pid = std::process::id();
--- a/crates/cli/tests/signals.rs
+++ b/crates/cli/tests/signals.rs
@@ -30,13 +30,6 @@
     }
 }
 
-/// Whether a process handles SIGTERM, from the mask of caught signals in `/proc`.
-fn handles_sigterm(child: &Child) -> bool {
-    let status = std::fs::read_to_string(format!("/proc/{}/status", child.id())).unwrap();
-    let mask = status.lines().find_map(|line| line.strip_prefix("SigCgt:")).unwrap().trim().to_owned();
-    u64::from_str_radix(&mask, 16).unwrap() & (1 << (Signal::TERM.as_raw() - 1)) != 0
-}
-
 /// A process that drains must not end before its accepted requests are answered, whatever follows the first signal.
 #[test]
 fn repeated_signals_do_not_end_a_drain() {
@@ -88,7 +81,7 @@
     let port = silent_discovery.local_addr().unwrap().port();
     let file = file("early", &config(1, port, &[1]));
     let mut child = command().env("RELAY_CONFIG", &file).spawn().unwrap();
-    wait_until("signal handlers", || handles_sigterm(&child));
+    wait_until("signal handlers", || running::handles_sigterm(&child));
     signal(&child, Signal::HUP);
     signal(&child, Signal::TERM);
     let mut log = String::new();
