Platform: the last of many new configurations takes effect

Callers saw: nothing at once; their requests went on to the backends of a discovery that the operators had replaced. Cause: Ingress::reload put discovery's address into a queue of four and dropped what did not fit, so of more than four SIGHUPs handled in one turn the last was lost. Change: the queue holds one address, and a newer one replaces it (force_send).

--- a/crates/platform/src/ingress.rs
+++ b/crates/platform/src/ingress.rs
@@ -27,8 +27,8 @@
 const DRIVER_QUEUE_CAPACITY: usize = 1024;
 /// Capacity of the queue of messages to peers.
 const GOSSIP_QUEUE_CAPACITY: usize = 256;
-/// Capacity of the queue of changes of discovery's address.
-const ADDRESS_QUEUE_CAPACITY: usize = 4;
+/// Capacity of the queue of changes of discovery's address: only the latest one matters.
+const ADDRESS_QUEUE_CAPACITY: usize = 1;
 /// How long a starting ingress waits for the first list from discovery before it accepts clients.
 const FIRST_LIST_TIMEOUT_MICROS: Micros = 500_000;
 /// Partly received replies may use the process's memory limit divided by this. Complete replies are held a second time while
@@ -168,8 +168,8 @@
 
     /// Applies the discovery address of a new configuration. All other changes need a restart.
     pub fn reload(&self, config: &Config) {
-        // If the queue is full, this change is dropped.
-        let _ = self.discovery_addresses.try_send(config.discovery);
+        // Replaces a change that is not applied yet. Fails only when the follower of discovery has stopped.
+        let _ = self.discovery_addresses.force_send(config.discovery);
     }
 
     /// Shuts down gracefully, see [`ShutdownTimeouts`]. Accepts clients for 0.45 s more, then closes each connection once its
--- a/crates/platform/tests/discovery_faults.rs
+++ b/crates/platform/tests/discovery_faults.rs
@@ -1,7 +1,10 @@
 //! An ingress on real connections while discovery hangs, rejects requests or is down. The table of all such cases is
 //! `docs/design/endings.md`; the cases on virtual time are in `discovery.rs`.
 
-use common::{backend, known, BackendAction, Journal, GOOD_REPLY, TEST_TIMEOUT};
+use chalkgap_platform::{Config, Ingress};
+use chalkgap_runtime::system::System;
+use chalkgap_runtime::Runtime;
+use common::{backend, config, discovery, known, BackendAction, Journal, GOOD_REPLY, TEST_TIMEOUT};
 use rig::{ms, scripted, wait_until, Fixture};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -246,3 +249,23 @@
     let listener = TcpListener::bind(address).unwrap();
     common::serve_discovery(listener, list)
 }
+
+/// Of several new configurations that arrive before the ingress follows any of them, the last one must take effect.
+#[test]
+fn the_last_of_many_new_configurations_takes_effect() {
+    let backends = [1];
+    let first = discovery(known(&backends));
+    let last = discovery(known(&backends));
+    let parse = |port| Config::parse("test", config(1, port, &backends).as_bytes()).unwrap();
+    let system = System::new();
+    system.clone().run(async move {
+        let ingress = Ingress::start(parse(first.port), system.clone()).await.unwrap();
+        (1..10).for_each(|unused_port| ingress.reload(&parse(unused_port)));
+        ingress.reload(&parse(last.port));
+        let deadline = system.now() + TEST_TIMEOUT.as_micros() as u64;
+        while last.watches.lock().unwrap().is_empty() {
+            assert!(system.now() < deadline, "discovery of the last configuration is not followed");
+            system.sleep_until(system.now() + 2000).await;
+        }
+    });
+}
