Ledger tests: the tests of a slow or failing disk run on virtual time

Cause: the ledger of the test allows a sync 100 ms, and a sync of the real disk took up to 859 ms: the first request, before any injected fault, was then rejected. The other two tests of the disk have the same bound. Change: the three run in the simulated runtime, with the fault injection that was there; steps, checks and bounds are the same.

--- a/crates/gateway/tests/ledger/faulty_disk.rs
+++ b/crates/gateway/tests/ledger/faulty_disk.rs
@@ -1,7 +1,6 @@
-//! The system's file operations with injected disk faults.
+//! A runtime's file operations with injected disk faults.
 
-use chalkgap::runtime::system::System;
-use chalkgap::runtime::{Append, BoxFuture, Files, Micros, Runtime};
+use chalkgap::runtime::{Append, BoxFuture, Files, Micros, Shared};
 use std::io;
 use std::path::Path;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -16,21 +15,21 @@
     pub errno: AtomicU64,
 }
 
-/// File operations of the system, with faults in the appends and syncs of files that [`Files::append`] opens.
+/// File operations of a runtime, with faults in the appends and syncs of files that [`Files::append`] opens.
 pub struct FaultyFiles {
-    system: Arc<System>,
+    runtime: Shared,
     faults: Arc<DiskFaults>,
 }
 
 impl FaultyFiles {
-    pub fn new(system: Arc<System>, faults: Arc<DiskFaults>) -> Self {
-        FaultyFiles { system, faults }
+    pub fn new(runtime: Shared, faults: Arc<DiskFaults>) -> Self {
+        FaultyFiles { runtime, faults }
     }
 }
 
 struct FaultyAppend {
     file: Box<dyn Append>,
-    system: Arc<System>,
+    runtime: Shared,
     faults: Arc<DiskFaults>,
 }
 
@@ -46,7 +45,7 @@
     fn sync<'a>(&'a mut self) -> BoxFuture<'a, io::Result<()>> {
         Box::pin(async move {
             let delay = self.faults.sync_micros.load(Ordering::Relaxed);
-            self.system.sleep_until(self.system.now() + delay).await;
+            self.runtime.sleep_until(self.runtime.now() + delay).await;
             self.file.sync().await
         })
     }
@@ -55,28 +54,28 @@
 impl Files for FaultyFiles {
     fn append<'a>(&'a self, path: &'a Path, len: u64) -> BoxFuture<'a, io::Result<Box<dyn Append>>> {
         Box::pin(async move {
-            let file = self.system.files().append(path, len).await?;
-            let system = self.system.clone();
+            let file = self.runtime.files().append(path, len).await?;
+            let runtime = self.runtime.clone();
             let faults = self.faults.clone();
-            Ok(Box::new(FaultyAppend { file, system, faults }) as Box<dyn Append>)
+            Ok(Box::new(FaultyAppend { file, runtime, faults }) as Box<dyn Append>)
         })
     }
     fn names<'a>(&'a self, folder: &'a Path) -> BoxFuture<'a, io::Result<Vec<String>>> {
-        self.system.files().names(folder)
+        self.runtime.files().names(folder)
     }
     fn read<'a>(&'a self, path: &'a Path, most: u64) -> BoxFuture<'a, io::Result<Vec<u8>>> {
-        self.system.files().read(path, most)
+        self.runtime.files().read(path, most)
     }
     fn replace<'a>(&'a self, path: &'a Path, bytes: Vec<u8>) -> BoxFuture<'a, io::Result<()>> {
-        self.system.files().replace(path, bytes)
+        self.runtime.files().replace(path, bytes)
     }
     fn create<'a>(&'a self, path: &'a Path, bytes: Vec<u8>) -> BoxFuture<'a, io::Result<bool>> {
-        self.system.files().create(path, bytes)
+        self.runtime.files().create(path, bytes)
     }
     fn remove<'a>(&'a self, path: &'a Path) -> BoxFuture<'a, io::Result<()>> {
-        self.system.files().remove(path)
+        self.runtime.files().remove(path)
     }
     fn stamp<'a>(&'a self, path: &'a Path) -> BoxFuture<'a, io::Result<(Micros, u64)>> {
-        self.system.files().stamp(path)
+        self.runtime.files().stamp(path)
     }
 }
--- a/crates/gateway/tests/ledger/main.rs
+++ b/crates/gateway/tests/ledger/main.rs
@@ -5,7 +5,7 @@
 mod faulty_disk;
 
 use chalkgap::runtime::faulty_runtime::FaultyRuntime;
-use chalkgap::runtime::system::System;
+use chalkgap::runtime::simulated_runtime::{address, Simulation};
 use chalkgap::runtime::Shared;
 use chalkgap::settings::{Export, ExportTo, Ledger, LedgerGroup, OnFailure, Period, Settings};
 use chalkgap::Instance;
@@ -20,8 +20,9 @@
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 use std::collections::BTreeMap;
+use std::future::Future;
 use std::net::{SocketAddr, TcpListener};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
 
@@ -46,10 +47,14 @@
 }
 
 fn ledger_settings(folder: &Directory, name: &str, export: Option<ExportTo>) -> Ledger {
+    ledger_settings_in(&folder.0, name, export)
+}
+
+fn ledger_settings_in(folder: &Path, name: &str, export: Option<ExportTo>) -> Ledger {
     let export =
         export.map(|to| Export { to, after_ms: 60_000, every_ms: 50, takeover_ms: 1500, patience_ms: 2000 });
     Ledger {
-        folder: folder.0.join(name),
+        folder: folder.join(name),
         period: Period::Seconds(1),
         waiting: 4096,
         slow_ms: 2000,
@@ -231,22 +236,60 @@
     (1..=seeds).for_each(billing_with_one_ingress_killed);
 }
 
-async fn start_with_faulty_disk(
-    system: &Arc<System>,
-    folder: &Directory,
-    on_failure: OnFailure,
-) -> (Fixture, Arc<DiskFaults>) {
-    let faults = Arc::new(DiskFaults::default());
-    let runtime = FaultyRuntime::new(system.clone()).files(FaultyFiles::new(system.clone(), faults.clone()));
-    let mut settings = settings();
-    settings.ledger = Some(Ledger { on_failure, slow_ms: 100, ..ledger_settings(folder, "0", None) });
-    let fixture = Fixture::start(Arc::new(runtime), settings, vec![Machine::default()]).await;
-    (fixture, faults)
+/// An ingress whose ledger is on a disk with faults, its node and a client, on virtual time: no test of a slow disk depends on the
+/// speed of a real one.
+struct FaultyDiskFixture {
+    runtime: Shared,
+    journal: Journal,
+    ingress: Instance,
+    client: Arc<Client>,
+    faults: Arc<DiskFaults>,
+    _node: Node,
 }
 
-/// Number of attempts that arrived at nodes.
-fn arrived(fixture: &Fixture) -> usize {
-    fixture.journal.entries().iter().filter(|e| matches!(e.1, Seen::Arrived { .. })).count()
+impl FaultyDiskFixture {
+    /// Runs `test` with a fixture in a simulation.
+    fn run<F: Future<Output = ()>>(
+        on_failure: OnFailure,
+        test: impl FnOnce(FaultyDiskFixture) -> F + 'static,
+    ) {
+        let simulation = Simulation::new(1, 1_800_000_000_000_000);
+        let (node_host, _node_guard) = simulation.host(0, 0);
+        let (ingress_host, _ingress_guard) = simulation.host(1, 0);
+        let (client_host, _client_guard) = simulation.host(2, 0);
+        let completed = simulation.run(async move {
+            let journal = Journal::default();
+            let node_address = SocketAddr::new(address(0), 7001);
+            let node = Node::start(node_host, node_address, Machine::default(), journal.clone()).unwrap();
+            let faults = Arc::new(DiskFaults::default());
+            let files = FaultyFiles::new(ingress_host.clone(), faults.clone());
+            let mut settings = settings();
+            settings.front.listen = SocketAddr::new(address(1), 8081);
+            settings.ledger = Some(Ledger {
+                on_failure,
+                slow_ms: 100,
+                ..ledger_settings_in(Path::new("/"), "ledger", None)
+            });
+            let ingress_runtime = Arc::new(FaultyRuntime::new(ingress_host).files(files));
+            let ingress = Instance::start(settings, ingress_runtime).await.unwrap();
+            ingress.set_node_list(node_list(&[&node])).await;
+            let runtime: Shared = client_host;
+            let at = ingress.grpc_address();
+            let client = Client::connect(runtime.clone(), at, 0, journal.clone()).await.unwrap();
+            let client = Arc::new(client);
+            test(FaultyDiskFixture { runtime, journal, ingress, client, faults, _node: node }).await;
+        });
+        assert!(completed.is_some(), "the simulation did not complete");
+    }
+
+    async fn answer(&self, call: u64) -> Answer {
+        self.client.call(&client_request(call, "big", "sig-check")).await.answer
+    }
+
+    /// Number of attempts that arrived at the node.
+    fn arrived(&self) -> usize {
+        self.journal.entries().iter().filter(|e| matches!(e.1, Seen::Arrived { .. })).count()
+    }
 }
 
 /// After ENOSPC or EIO, requests are rejected before admission with a time to retry after. Requests that waited for the disk
@@ -254,27 +297,21 @@
 #[test]
 fn requests_are_rejected_after_a_disk_failure() {
     for errno in [28, 5] {
-        run(|system| async move {
-            let folder = Directory::new();
-            let (fixture, faults) = start_with_faulty_disk(&system, &folder, OnFailure::Refuse).await;
-            assert_eq!(
-                fixture.client.call(&client_request(1, "big", "sig-check")).await.answer,
-                Answer::Served
-            );
-            faults.errno.store(errno, Ordering::Relaxed);
+        FaultyDiskFixture::run(OnFailure::Refuse, move |fixture| async move {
+            assert_eq!(fixture.answer(1).await, Answer::Served);
+            fixture.faults.errno.store(errno, Ordering::Relaxed);
             // Admitted before the disk failed, and never sent to a node.
-            let answer = fixture.client.call(&client_request(2, "big", "sig-check")).await.answer;
+            let answer = fixture.answer(2).await;
             assert!(matches!(answer, Answer::Failed { .. } | Answer::Refused { .. }), "{answer:?}");
-            faults.errno.store(0, Ordering::Relaxed);
-            for n in 3..6 {
-                let answer = fixture.client.call(&client_request(n, "big", "sig-check")).await.answer;
+            fixture.faults.errno.store(0, Ordering::Relaxed);
+            for call in 3..6 {
                 assert_eq!(
-                    answer,
+                    fixture.answer(call).await,
                     Answer::Refused { pause: 700_000 },
                     "requests stay rejected when the disk works again"
                 );
             }
-            assert_eq!(arrived(&fixture), 1);
+            assert_eq!(fixture.arrived(), 1);
             assert!(fixture.ingress.counts().ledger_refused >= 3);
         });
     }
@@ -282,15 +319,10 @@
 
 #[test]
 fn requests_are_served_unrecorded_with_on_failure_serve() {
-    run(|system| async move {
-        let folder = Directory::new();
-        let (fixture, faults) = start_with_faulty_disk(&system, &folder, OnFailure::Serve).await;
-        faults.errno.store(28, Ordering::Relaxed);
-        for n in 0..5 {
-            assert_eq!(
-                fixture.client.call(&client_request(n, "big", "sig-check")).await.answer,
-                Answer::Served
-            );
+    FaultyDiskFixture::run(OnFailure::Serve, |fixture| async move {
+        fixture.faults.errno.store(28, Ordering::Relaxed);
+        for call in 0..5 {
+            assert_eq!(fixture.answer(call).await, Answer::Served);
         }
         assert!(fixture.ingress.counts().ledger_without >= 4);
     });
@@ -300,31 +332,22 @@
 /// late. No request reaches a node before its entry is durable.
 #[test]
 fn requests_are_rejected_while_the_disk_is_slow() {
-    run(|system| async move {
-        let folder = Directory::new();
-        let (fixture, faults) = start_with_faulty_disk(&system, &folder, OnFailure::Refuse).await;
-        assert_eq!(fixture.client.call(&client_request(1, "big", "sig-check")).await.answer, Answer::Served);
-        faults.sync_micros.store(600_000, Ordering::Relaxed);
-        let client = Arc::new(fixture.client);
-        let waiting = {
-            let client = client.clone();
-            fixture.runtime.spawn(Box::pin(async move {
-                assert_eq!(client.call(&client_request(2, "big", "sig-check")).await.answer, Answer::Served);
-            }))
-        };
+    FaultyDiskFixture::run(OnFailure::Refuse, |fixture| async move {
+        assert_eq!(fixture.answer(1).await, Answer::Served);
+        fixture.faults.sync_micros.store(600_000, Ordering::Relaxed);
+        let client = fixture.client.clone();
+        let waiting = fixture.runtime.spawn(Box::pin(async move {
+            assert_eq!(client.call(&client_request(2, "big", "sig-check")).await.answer, Answer::Served);
+        }));
         sleep_ms(&fixture.runtime, 250).await;
         let started = fixture.runtime.now();
-        let answer = client.call(&client_request(3, "big", "sig-check")).await.answer;
-        assert_eq!(answer, Answer::Refused { pause: 700_000 });
+        assert_eq!(fixture.answer(3).await, Answer::Refused { pause: 700_000 });
         assert!(fixture.runtime.now() - started < 300_000, "not rejected at once");
-        assert_eq!(
-            fixture.journal.entries().iter().filter(|e| matches!(e.1, Seen::Arrived { .. })).count(),
-            1
-        );
+        assert_eq!(fixture.arrived(), 1);
         waiting.await;
-        faults.sync_micros.store(0, Ordering::Relaxed);
+        fixture.faults.sync_micros.store(0, Ordering::Relaxed);
         sleep_ms(&fixture.runtime, 700).await;
-        assert_eq!(client.call(&client_request(4, "big", "sig-check")).await.answer, Answer::Served);
+        assert_eq!(fixture.answer(4).await, Answer::Served);
     });
 }
 
