Gateway: an answer of a node without trailers ends its call at once

Callers saw: no answer until their deadline, from a node whose answer ends with its DATA frame. Cause: on_data in upstream/calls.rs took the first message of a call without looking at the end of the stream. Change: the end of the stream ends the call, as an error that may have run. Test: an_answer_without_trailers_ends_its_call; before, the failure came after 2.998 s of 3 s.

--- a/crates/gateway/src/upstream/calls.rs
+++ b/crates/gateway/src/upstream/calls.rs
@@ -111,7 +111,7 @@
         let Some(open) = self.open.get_mut(&stream) else { return };
         open.body.push(data);
         match open.body.message() {
-            Ok(Some(message)) if open.message.is_none() => open.message = Some(message),
+            Ok(Some(message)) if open.message.is_none() && !end => open.message = Some(message),
             Ok(None) if !end => {}
             // The message is too large, or is a second one, or the stream ended without trailers: the node ran the
             // request, but there is no usable answer.
--- a/crates/gateway/tests/hard_cases.rs
+++ b/crates/gateway/tests/hard_cases.rs
@@ -3,12 +3,14 @@
 mod common;
 
 use bytes::Bytes;
+use chalkgap::node_list::NodeList;
 use chalkgap::runtime::{Shared, Stream};
 use chalkgap::Instance;
 use chalkgap_testbed::client::Client;
 use chalkgap_testbed::journal::{Answer, Journal, Seen};
 use chalkgap_testbed::node::{Machine, Node};
 use chalkgap_wire::http2::{Code, Config, Connection, Event, Field, PREFACE};
+use chalkgap_wire::intake::Done;
 use chalkgap_wire::ratelimit::{Descriptor, Entry, RateLimitRequest, SHOULD_RATE_LIMIT};
 use common::*;
 use futures_lite::{future, AsyncReadExt, AsyncWriteExt};
@@ -380,3 +382,53 @@
     });
     std::fs::remove_dir_all(folder).unwrap();
 }
+
+/// Serves one connection of a node whose answers end with their message, without trailers.
+async fn answer_without_trailers(runtime: &Shared, mut stream: Box<dyn Stream>) {
+    let mut connection = Connection::server(Config::default());
+    let mut buffer = [0; 4096];
+    loop {
+        while let Some(event) = connection.event() {
+            if let Event::Data { stream: id, end: true, .. } = event {
+                let fields = vec![
+                    Field::constant(":status", "200"),
+                    Field::constant("content-type", "application/grpc"),
+                ];
+                connection.headers(id, fields, false).unwrap();
+                connection.data(id, chalkgap_wire::grpc::frame(&Done::default()), true).unwrap();
+            }
+        }
+        let bytes = connection.output().split();
+        stream.write_all(&bytes).await.unwrap();
+        match stream.read(&mut buffer).await {
+            Ok(count) if count > 0 => connection.receive(runtime.now(), &buffer[..count]).unwrap(),
+            _ => return,
+        }
+    }
+}
+
+/// An answer of a node that ends without trailers is no answer. The client must be told at once, not at its deadline.
+#[test]
+fn an_answer_without_trailers_ends_its_call() {
+    run(|system| async move {
+        let runtime: Shared = system;
+        let listener = runtime.listen(([127, 0, 0, 1], 0).into()).unwrap();
+        let address = listener.address();
+        let node_runtime = runtime.clone();
+        let node = runtime.spawn(Box::pin(async move {
+            while let Ok(stream) = listener.accept().await {
+                answer_without_trailers(&node_runtime, stream).await;
+            }
+        }));
+        let ingress = Instance::start(settings(), runtime.clone()).await.unwrap();
+        ingress.set_node_list(NodeList { revision: 1, nodes: vec![listed_node_at(address)] }).await;
+        let client =
+            Client::connect(runtime.clone(), ingress.grpc_address(), 0, Journal::default()).await.unwrap();
+        let begun = runtime.now();
+        let answer = client.call(&client_request(1, "big", "referral")).await.answer;
+        let elapsed = runtime.now() - begun;
+        assert!(matches!(answer, Answer::Failed { .. }), "it may have run: {answer:?}");
+        assert!(elapsed < 1_000_000, "answered after {elapsed} us, its deadline is 3 s");
+        drop(node);
+    });
+}
