Transport: a unary call ends with a response that has no trailers

Callers saw: usage lookups, copies between ledgers and exports waited for their deadline where a server ends its response with a DATA frame. Cause: PendingCall::handle ignored the end of the stream on DATA frames. Change: the call ends with UNKNOWN, as for trailers without a status.

--- a/crates/transport/src/unary/client.rs
+++ b/crates/transport/src/unary/client.rs
@@ -28,6 +28,7 @@
 ///   HTTP/2, or if the call is reset;
 /// - DEADLINE_EXCEEDED if the status has not arrived on the established connection by the deadline;
 /// - INTERNAL if the server sent OK without a response;
+/// - UNKNOWN if the response ends without trailers;
 /// - the status of [`Deframer::message`] if the response cannot be unframed or is too long.
 pub async fn call(
     runtime: &Shared,
@@ -109,13 +110,14 @@
     /// Processes an event of the connection. Returns the final status once it has arrived.
     fn handle(&mut self, connection: &mut Connection, event: Event) -> Result<Option<Status>, Status> {
         match event {
-            Event::Data { stream, data, .. } => {
+            Event::Data { stream, data, end } => {
                 connection.consumed(stream, data.len());
                 self.body.push(&data);
                 if let Some(message) = self.body.message()? {
                     self.response = Some(message);
                 }
-                Ok(None)
+                // A response that ends without trailers has no status.
+                Ok(end.then(|| Status::from_fields(&[])))
             }
             Event::Headers { fields, end: true, .. } => Ok(Some(Status::from_fields(&fields))),
             Event::Reset { code, .. } => Err(unavailable(format!("the call was reset: {code}"))),
