Command line: a closed standard output is an ordinary end

Seen: chalkgap schema | head -1 ended in a panic with a backtrace, and serve crashed at its start (101) if its output was closed. Cause: println! panics on a broken pipe, and Rust programs ignore SIGPIPE. Change: all commands print by print_line! (output.rs), which discards the output of a closed pipe and reports other errors. Tests: a_closed_pipe_is_an_ordinary_end_of_the_output (before: 101 for schema), serve_runs_with_a_closed_standard_output (before: 101).

--- a/crates/cli/src/drill.rs
+++ b/crates/cli/src/drill.rs
@@ -1,5 +1,6 @@
 //! `drill`: runs a day and prints the verdict of the audit.
 
+use crate::output::print_line;
 use crate::{fail, Exit};
 use chalkgap::runtime::system::System;
 use chalkgap_fault_injection::audit::Verdict;
@@ -53,12 +54,12 @@
     system.threads(args.threads.max(1) - 1);
     let Day { seconds, ingresses, .. } = day;
     if !args.json {
-        println!("{name}: {ingresses} ingresses, {seconds} s ...");
+        print_line!("{name}: {ingresses} ingresses, {seconds} s ...");
     }
     match system.clone().run(drill::play(system, day, placement)) {
         Ok(verdict) => {
             if args.json {
-                println!("{}", serde_json::to_string(&verdict).unwrap_or_default());
+                print_line!("{}", serde_json::to_string(&verdict).unwrap_or_default());
             } else {
                 print(&verdict);
             }
@@ -78,26 +79,28 @@
 fn print(verdict: &Verdict) {
     let failed: u64 = verdict.failed.values().sum();
     let ms = |us: [u64; 3]| us.map(|t| format!("{:.1}", t as f64 / 1000.0)).join(" / ");
-    println!("calls            {:>8}", verdict.calls);
-    println!("  served         {:>8}   {} ms (p50 / p99 / p99.9)", verdict.served, ms(verdict.served_us));
-    println!("  refused        {:>8}   {} ms", verdict.refused, ms(verdict.refused_us));
-    println!("  failed         {:>8}   by gRPC status: {:?}", failed, verdict.failed);
-    println!("  not taken      {:>8}", verdict.not_taken);
-    println!("  lost with a killed ingress {}", verdict.lost_with_ingress);
-    println!("  late by a stall of the ingress {}", verdict.stalled);
-    println!("  too little time to judge   {}", verdict.hopeless);
-    println!("attempts         {:>8}", verdict.attempts);
-    println!("units sent on    {:>8.0}   beyond their quota {:.0}", verdict.units, verdict.beyond_quota);
+    print_line!("calls            {:>8}", verdict.calls);
+    print_line!("  served         {:>8}   {} ms (p50 / p99 / p99.9)", verdict.served, ms(verdict.served_us));
+    print_line!("  refused        {:>8}   {} ms", verdict.refused, ms(verdict.refused_us));
+    print_line!("  failed         {:>8}   by gRPC status: {:?}", failed, verdict.failed);
+    print_line!("  not taken      {:>8}", verdict.not_taken);
+    print_line!("  lost with a killed ingress {}", verdict.lost_with_ingress);
+    print_line!("  late by a stall of the ingress {}", verdict.stalled);
+    print_line!("  too little time to judge   {}", verdict.hopeless);
+    print_line!("attempts         {:>8}", verdict.attempts);
+    print_line!("units sent on    {:>8.0}   beyond their quota {:.0}", verdict.units, verdict.beyond_quota);
     if let Some(billing) = &verdict.billing {
-        println!(
+        print_line!(
             "units billed     {:>8}   nodes counted {}, in {} sums",
-            billing.billed, billing.counted, billing.sums
+            billing.billed,
+            billing.counted,
+            billing.sums
         );
-        println!("  differences    {:>8}", billing.differences.len());
-        billing.differences.iter().take(20).for_each(|d| println!("    {d}"));
+        print_line!("  differences    {:>8}", billing.differences.len());
+        billing.differences.iter().take(20).for_each(|d| print_line!("    {d}"));
     }
     if verdict.views.is_some() {
-        println!("           bound       p50      p99     most  cases  of the fleet's view");
+        print_line!("           bound       p50      p99     most  cases  of the fleet's view");
     }
     for s in verdict.views.iter().flatten() {
         let status = if s.broken.is_empty() { "held" } else { "BROKEN" };
@@ -106,14 +109,14 @@
         let p99 = quantile(0.99);
         let max = quantile(1.0);
         let cases = s.seen.len();
-        println!("{status:<6} {:>8.2}  {p50:>8} {p99:>8} {max:>8}  {cases:>5}  {}", s.bound, s.what);
-        s.broken.iter().take(10).for_each(|b| println!("    {b}"));
+        print_line!("{status:<6} {:>8.2}  {p50:>8} {p99:>8} {max:>8}  {cases:>5}  {}", s.bound, s.what);
+        s.broken.iter().take(10).for_each(|b| print_line!("    {b}"));
     }
     if verdict.violations.is_empty() {
-        return println!("rules: all kept");
+        return print_line!("rules: all kept");
     }
-    println!("rules: {} broken", verdict.violations.len());
+    print_line!("rules: {} broken", verdict.violations.len());
     for violation in verdict.violations.iter().take(20) {
-        println!("  rule {}: {}", violation.rule, violation.what);
+        print_line!("  rule {}: {}", violation.rule, violation.what);
     }
 }
--- a/crates/cli/src/fleet.rs
+++ b/crates/cli/src/fleet.rs
@@ -1,5 +1,6 @@
 //! `fleet`: shows the membership view of an ingress.
 
+use crate::output::print_line;
 use crate::{fail, serve, Exit};
 use chalkgap::fleet::{fetch_snapshot, FleetSnapshot, MemberSnapshot};
 use chalkgap::peers::Key;
@@ -40,7 +41,7 @@
     let system = System::new();
     let shared: Shared = system.clone();
     match system.run(async move { fetch_snapshot(&shared, key, address).await }) {
-        Ok(view) if json => println!("{}", serde_json::to_string(&view).unwrap_or_default()),
+        Ok(view) if json => print_line!("{}", serde_json::to_string(&view).unwrap_or_default()),
         Ok(view) => print(&view),
         Err(e) => return fail(Exit::NoAnswer, e),
     }
@@ -48,13 +49,20 @@
 }
 
 fn print(fleet: &FleetSnapshot) {
-    println!("view of {}: number {}, digest {}", fleet.owner, fleet.version, fleet.digest);
-    println!("{}: {} in, of {} that were", fleet.partition_status, fleet.member_count, fleet.majority_basis);
-    println!("a death is known within {:.1} s", fleet.max_detection_time as f64 / 1e6);
-    println!("{:>6}  {:<10} {:>12}  {:>6}  {:>6}  address", "number", "state", "for", "turn", "by");
+    print_line!("view of {}: number {}, digest {}", fleet.owner, fleet.version, fleet.digest);
+    print_line!(
+        "{}: {} in, of {} that were",
+        fleet.partition_status,
+        fleet.member_count,
+        fleet.majority_basis
+    );
+    print_line!("a death is known within {:.1} s", fleet.max_detection_time as f64 / 1e6);
+    print_line!("{:>6}  {:<10} {:>12}  {:>6}  {:>6}  address", "number", "state", "for", "turn", "by");
     for member in &fleet.members {
         let MemberSnapshot { id, state, state_version, reported_by, address, .. } = member;
         let in_state_for = format!("{:.1} s", member.in_state_for as f64 / 1e6);
-        println!("{id:>6}  {state:<10} {in_state_for:>12}  {state_version:>6}  {reported_by:>6}  {address}");
+        print_line!(
+            "{id:>6}  {state:<10} {in_state_for:>12}  {state_version:>6}  {reported_by:>6}  {address}"
+        );
     }
 }
--- a/crates/cli/src/ledger/export.rs
+++ b/crates/cli/src/ledger/export.rs
@@ -1,6 +1,7 @@
 //! `ledger export`: exports while the ledger's ingress is down.
 
 use super::{periods, restore_totals, MAX_GROUP_ENTRIES};
+use crate::output::print_line;
 use crate::{fail, Exit};
 use chalkgap::runtime::Shared;
 use chalkgap_ledger::directory_sink;
@@ -103,7 +104,7 @@
             }
         }
         if !self.json {
-            println!("{delivered} batches delivered");
+            print_line!("{delivered} batches delivered");
         }
         Ok(self.print_state(&exporter, &totals, started_at))
     }
@@ -131,9 +132,9 @@
         if self.json {
             let line =
                 serde_json::json!({"stream": stream, "number": number, "lines": lines, "units": units});
-            println!("{line}");
+            print_line!("{line}");
         } else {
-            println!("{stream} {number}: {lines} lines, {units} units");
+            print_line!("{stream} {number}: {lines} lines, {units} units");
         }
     }
 
@@ -149,7 +150,7 @@
             if !self.json {
                 let pending =
                     if position.pending.is_some() { ", one written and without a reply" } else { "" };
-                println!("{stream}: {} batches acknowledged{pending}", position.acknowledged);
+                print_line!("{stream}: {} batches acknowledged{pending}", position.acknowledged);
             }
         }
         let due = exporter.final_until(now, totals);
@@ -166,9 +167,9 @@
             let line = serde_json::json!({
                 "due": account, "plan": plan, "period": period, "units": units, "requests": requests,
             });
-            println!("{line}");
+            print_line!("{line}");
         } else {
-            println!("due: {account} ({plan}), period {period}: {units} units, {requests} requests");
+            print_line!("due: {account} ({plan}), period {period}: {units} units, {requests} requests");
         }
     }
 }
--- a/crates/cli/src/ledger/inspect.rs
+++ b/crates/cli/src/ledger/inspect.rs
@@ -1,6 +1,7 @@
 //! `ledger show` and `ledger verify`: read a ledger without changing it.
 
 use super::{periods, restore_totals};
+use crate::output::print_line;
 use crate::{fail, Exit};
 use chalkgap::runtime::Shared;
 use chalkgap_ledger::store::{read_segments, ScannedSegment};
@@ -19,9 +20,15 @@
         Err(exit) => return exit,
     };
     if !json {
-        println!(
+        print_line!(
             "{:<24} {:<16} {:>10} {:>12} {:>10} {:>10} {:>8}",
-            "account", "plan", "period", "units", "requests", "presumed", "open"
+            "account",
+            "plan",
+            "period",
+            "units",
+            "requests",
+            "presumed",
+            "open"
         );
     }
     for (account, plan, period, sum) in read.totals.sums() {
@@ -31,9 +38,9 @@
                 "account": account, "plan": plan, "period": period, "units": units, "requests": requests,
                 "presumed": presumed, "open": open,
             });
-            println!("{line}");
+            print_line!("{line}");
         } else {
-            println!(
+            print_line!(
                 "{account:<24} {plan:<16} {period:>10} {units:>12} {requests:>10} {presumed:>10} {open:>8}"
             );
         }
@@ -45,7 +52,7 @@
 pub(super) async fn verify(runtime: &Shared, folder: &Path) -> Exit {
     let read = ReadLedger::read(runtime, folder, periods(1), |segment| {
         let SegmentReport { path, entries, conflicts, condition } = segment;
-        println!("{}: {entries} entries, {conflicts} conflicts, {}", path.display(), condition.text);
+        print_line!("{}: {entries} entries, {conflicts} conflicts, {}", path.display(), condition.text);
     });
     read.await.map_or_else(|exit| exit, |read| read.exit())
 }
--- a/crates/cli/src/ledger/reconcile.rs
+++ b/crates/cli/src/ledger/reconcile.rs
@@ -1,6 +1,7 @@
 //! `ledger reconcile`: adds the entries of another ledger's directory that this one lacks.
 
 use super::{restore_totals, MAX_GROUP_ENTRIES};
+use crate::output::print_line;
 use crate::{fail, Exit};
 use chalkgap::runtime::Shared;
 use chalkgap_ledger::store::{read_segments, Store, StoreError, SEGMENT_BYTES};
@@ -39,6 +40,6 @@
     for group in missing.chunks(MAX_GROUP_ENTRIES) {
         store.commit(group).await?;
     }
-    println!("{} entries added, {conflicts} conflicts", missing.len());
+    print_line!("{} entries added, {conflicts} conflicts", missing.len());
     Ok(if damaged || conflicts > 0 { Exit::Failure } else { Exit::Success })
 }
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -3,11 +3,13 @@
 mod drill;
 mod fleet;
 mod ledger;
+mod output;
 mod platform;
 mod serve;
 mod signals;
 mod tools;
 
+use crate::output::print_line;
 use clap::{CommandFactory, Parser, Subcommand, ValueEnum};
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -115,13 +117,13 @@
             Ok(settings) => {
                 let classes = settings.classes.len();
                 let plans = settings.plans.len();
-                println!("{}: good ({classes} classes, {plans} plans)", file.display());
+                print_line!("{}: good ({classes} classes, {plans} plans)", file.display());
                 Exit::Success
             }
             Err(exit) => exit,
         },
         Command::Schema => {
-            println!("{:#}", chalkgap::settings::schema());
+            print_line!("{:#}", chalkgap::settings::schema());
             Exit::Success
         }
         Command::Ask(args) => tools::ask(args),
@@ -130,7 +132,9 @@
         Command::Fleet(command) => fleet::run(command),
         Command::Ledger(command) => ledger::run(command),
         Command::Completions { shell } => {
-            clap_complete::generate(shell, &mut Args::command(), "chalkgap", &mut std::io::stdout());
+            let mut script = Vec::new();
+            clap_complete::generate(shell, &mut Args::command(), "chalkgap", &mut script);
+            output::write(format_args!("{}", String::from_utf8_lossy(&script)));
             Exit::Success
         }
     };
--- a/crates/cli/src/serve.rs
+++ b/crates/cli/src/serve.rs
@@ -1,12 +1,12 @@
 //! `serve`: reads the settings, starts an ingress and handles signals. The ingress itself is in the library.
 
+use crate::output::print_line;
 use crate::signals::ProcessSignals;
 use crate::{fail, Exit};
 use chalkgap::runtime::{system::System, Runtime};
 use chalkgap::settings::{self, Compiled, Settings};
 use chalkgap::{Instance, StartError};
 use futures_lite::future;
-use std::io::Write;
 use std::path::{Path, PathBuf};
 
 /// Run an ingress.
@@ -56,8 +56,7 @@
         let mqtt = instance.mqtt_address().map(|a| a.to_string());
         let line =
             serde_json::json!({"grpc": instance.grpc_address().to_string(), "mqtt": mqtt, "peers": peer});
-        println!("{line}");
-        let _ = std::io::stdout().flush(); // standard output may be closed
+        print_line!("{line}");
 
         // If another process has taken this one's number, both together would admit twice the allowed requests, so this one
         // ends.
--- a/crates/cli/src/tools.rs
+++ b/crates/cli/src/tools.rs
@@ -1,5 +1,6 @@
 //! `ask` and `standin`: a client, a node and a registry for manual tests of an ingress.
 
+use crate::output::print_line;
 use crate::{fail, Exit};
 use async_signal::{Signal, Signals};
 use chalkgap::node_list::{NodeList, State};
@@ -79,11 +80,11 @@
             let line = serde_json::json!({
                 "answer": result.answer, "took_us": elapsed_us, "headers": headers, "body": body, "message": result.message,
             });
-            println!("{line}");
+            print_line!("{line}");
         } else {
-            println!("{} after {:.1} ms", outcome.trim_end(), elapsed_us as f64 / 1000.0);
-            headers.iter().for_each(|h| println!("  {h}"));
-            body.filter(|b| !b.is_empty()).iter().for_each(|b| println!("  body: {b}"));
+            print_line!("{} after {:.1} ms", outcome.trim_end(), elapsed_us as f64 / 1000.0);
+            headers.iter().for_each(|h| print_line!("  {h}"));
+            body.filter(|b| !b.is_empty()).iter().for_each(|b| print_line!("  body: {b}"));
         }
         exit
     })
@@ -147,7 +148,7 @@
                     Err(e) => return fail(Exit::System, format!("{listen}: {e}")),
                 };
                 node.set_faults(Faults { fail: fail_share, halfway, hang, ..Faults::default() });
-                println!("{}", serde_json::json!({"node": node.address().to_string()}));
+                print_line!("{}", serde_json::json!({"node": node.address().to_string()}));
                 while !matches!(signals.next().await, Some(Ok(Signal::Term | Signal::Int)) | None) {}
                 Exit::Success
             }
@@ -156,7 +157,7 @@
                     Ok(registry) => registry,
                     Err(e) => return fail(Exit::System, format!("{listen}: {e}")),
                 };
-                println!("{}", serde_json::json!({"roster": registry.address().to_string()}));
+                print_line!("{}", serde_json::json!({"roster": registry.address().to_string()}));
                 loop {
                     let list = std::fs::read(&file).map_err(|e| e.to_string());
                     let list =
--- a/crates/cli/tests/command.rs
+++ b/crates/cli/tests/command.rs
@@ -1,6 +1,8 @@
 //! The `chalkgap` command as a script sees it: exit codes, error texts, and the output of `ask`, `fleet` and `ledger`.
 
 use std::io::{BufRead, BufReader};
+use std::os::fd::OwnedFd;
+use std::os::unix::net::UnixStream;
 use std::path::PathBuf;
 use std::process::{Child, Command, Output, Stdio};
 
@@ -161,6 +163,19 @@
     assert!(text(&run(&["completions", "bash"]).stdout).contains("chalkgap"));
 }
 
+/// A reader that closes its pipe early, such as `head`, must not make a command panic or fail.
+#[test]
+fn a_closed_pipe_is_an_ordinary_end_of_the_output() {
+    let root = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../..");
+    for args in [&["schema"][..], &["completions", "bash"], &["check", "deploy/ingress.star"]] {
+        let (reader, writer) = UnixStream::pair().unwrap();
+        drop(reader);
+        let stdout = Stdio::from(OwnedFd::from(writer));
+        let out = chalkgap().args(args).current_dir(&root).stdout(stdout).output().unwrap();
+        assert_eq!((code(&out), text(&out.stderr)), (0, String::new()), "{args:?}");
+    }
+}
+
 #[test]
 fn ask_prints_answers_refusals_and_failures() {
     let (mut node, address) = start(&["standin", "node", "--work", "sig-check=1"], "node");
--- a/crates/cli/tests/signals.rs
+++ b/crates/cli/tests/signals.rs
@@ -8,6 +8,9 @@
 use rustix::process::{kill_process, Pid, Signal};
 use std::io::{BufRead, BufReader, Read};
 use std::net::{SocketAddr, TcpListener};
+use std::os::fd::OwnedFd;
+use std::os::unix::net::UnixStream;
+use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
 
@@ -119,25 +122,44 @@
     address.recv().unwrap()
 }
 
-/// `serve` answers the accepted requests too: SIGHUP does not end it, and a second SIGTERM does not end its drain.
-#[test]
-fn serve_answers_accepted_requests_after_repeated_signals() {
-    let folder = std::env::temp_dir().join(format!("chalkgap-signals-{}", std::process::id()));
+/// Starts `chalkgap serve` with one node. Returns the process, and the folder of its files.
+fn start_serve(name: &str, node: SocketAddr, stdout: Stdio) -> (Child, PathBuf) {
+    let folder = std::env::temp_dir().join(format!("chalkgap-signals-{}-{name}", std::process::id()));
     std::fs::create_dir_all(&folder).unwrap();
-    let journal = NodeJournal::default();
-    let node = hanging_node(journal.clone());
     let list = folder.join("list.json");
     std::fs::write(&list, format!(r#"{{"nodes": [{{"address": "{node}", "zone": "a"}}]}}"#)).unwrap();
     let settings = folder.join("settings.star");
     std::fs::write(&settings, SERVE_SETTINGS).unwrap();
-    let mut ingress = Command::new(env!("CARGO_BIN_EXE_chalkgap"))
+    let child = Command::new(env!("CARGO_BIN_EXE_chalkgap"))
         .arg("serve")
         .arg(&settings)
         .args(["--set", &format!("list={}", list.display())])
-        .stdout(Stdio::piped())
+        .stdout(stdout)
         .stderr(Stdio::null())
         .spawn()
         .unwrap();
+    (child, folder)
+}
+
+/// `serve` must not end because nobody reads the line that it prints.
+#[test]
+fn serve_runs_with_a_closed_standard_output() {
+    let (reader, writer) = UnixStream::pair().unwrap();
+    drop(reader);
+    let node = ([127, 0, 0, 1], 1).into();
+    let (mut ingress, folder) = start_serve("closed", node, Stdio::from(OwnedFd::from(writer)));
+    wait_until("signal handlers", || running::handles_sigterm(&ingress));
+    signal(&ingress, Signal::TERM);
+    assert_eq!(ingress.wait().unwrap().code(), Some(0));
+    std::fs::remove_dir_all(folder).unwrap();
+}
+
+/// `serve` answers the accepted requests too: SIGHUP does not end it, and a second SIGTERM does not end its drain.
+#[test]
+fn serve_answers_accepted_requests_after_repeated_signals() {
+    let journal = NodeJournal::default();
+    let node = hanging_node(journal.clone());
+    let (mut ingress, folder) = start_serve("series", node, Stdio::piped());
     let line = BufReader::new(ingress.stdout.take().unwrap()).lines().next().unwrap().unwrap();
     let addresses: serde_json::Value = serde_json::from_str(&line).unwrap();
     signal(&ingress, Signal::HUP);
