Wire: the states of a node in the registry's list have names

Cause: gateway, command line, drill and fake registry read and wrote the states as bare numbers, or had constants of their own. Change: roster::NODE_READY, NODE_DRAINING and NODE_REMOVED for all of them.

--- a/crates/cli/src/tools.rs
+++ b/crates/cli/src/tools.rs
@@ -183,9 +183,9 @@
         cell: node.cell.clone(),
         kind: node.kind.clone(),
         state: match node.state {
-            State::Ready => 0,
-            State::Draining => 1,
-            State::Gone => 2,
+            State::Ready => roster::NODE_READY,
+            State::Draining => roster::NODE_DRAINING,
+            State::Gone => roster::NODE_REMOVED,
         },
         size: node.size,
         started_ms: node.started_ms,
--- a/crates/fault-injection/src/drill/mod.rs
+++ b/crates/fault-injection/src/drill/mod.rs
@@ -18,7 +18,8 @@
 use chalkgap_testbed::network::{LinkFaults, Network, Party, Relay, StreamRelay};
 use chalkgap_testbed::node::{Cell, ExecutionLog, Faults, Machine};
 use chalkgap_testbed::registry::Registry;
-use processes::{end, free_port, free_udp, IngressSlot, IngressState, NodeSlot, NODE_READY};
+use chalkgap_wire::roster;
+use processes::{end, free_port, free_udp, IngressSlot, IngressState, NodeSlot};
 use std::collections::{BTreeMap, HashMap};
 use std::io;
 use std::net::SocketAddr;
@@ -337,7 +338,7 @@
                     address,
                     node: None,
                     faults,
-                    state: NODE_READY,
+                    state: roster::NODE_READY,
                     started_ms: 0,
                 });
             }
--- a/crates/fault-injection/src/drill/processes.rs
+++ b/crates/fault-injection/src/drill/processes.rs
@@ -31,20 +31,13 @@
     pub(super) down_since: Option<Micros>,
 }
 
-/// The `state` of a node in the registry's node list: it accepts requests.
-pub(super) const NODE_READY: u32 = 0;
-/// The `state` of a node in the registry's node list: it drains.
-pub(super) const NODE_DRAINING: u32 = 1;
-/// The `state` of a node in the registry's node list: it is removed.
-pub(super) const NODE_REMOVED: u32 = 2;
-
 pub(super) struct NodeSlot {
     pub(super) machine: Machine,
     pub(super) zone: usize,
     pub(super) address: SocketAddr,
     pub(super) node: Option<Node>,
     pub(super) faults: Faults,
-    /// The node's state in the node list that the registry publishes next, for example [`NODE_READY`].
+    /// The node's state in the node list that the registry publishes next, for example [`roster::NODE_READY`].
     pub(super) state: u32,
     pub(super) started_ms: u64,
 }
@@ -252,7 +245,7 @@
         let node = node.map_err(io_error(format!("node at {}", slot.address)))?;
         node.set_faults(slot.faults.clone());
         slot.started_ms = if cold { node.started_at() / 1000 } else { 0 };
-        slot.state = NODE_READY;
+        slot.state = roster::NODE_READY;
         slot.node = Some(node);
         Ok(())
     }
--- a/crates/fault-injection/src/drill/troubles.rs
+++ b/crates/fault-injection/src/drill/troubles.rs
@@ -1,6 +1,6 @@
 //! Injects the troubles of a day.
 
-use super::processes::{signal, IngressState, NODE_DRAINING, NODE_REMOVED};
+use super::processes::{signal, IngressState};
 use super::{io_error, lock, DrillError, DrillRun};
 use crate::day::{Kind, Trouble};
 use crate::fleet::FleetAction;
@@ -11,6 +11,7 @@
 use chalkgap_testbed::network::{Cut, LinkFaults, Party};
 use chalkgap_testbed::node::Faults;
 use chalkgap_testbed::registry::Registry;
+use chalkgap_wire::roster;
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 use rustix::process::Signal;
@@ -268,7 +269,7 @@
                 let list = self.affected(trouble, nodes, seed);
                 for n in &list {
                     let mut nodes = lock(&self.nodes);
-                    (nodes[*n].node, nodes[*n].state) = (None, NODE_REMOVED);
+                    (nodes[*n].node, nodes[*n].state) = (None, roster::NODE_REMOVED);
                 }
                 self.publish_late().await;
                 self.pause(trouble.lasts).await;
@@ -279,12 +280,12 @@
             }
             Kind::NodeRoll => {
                 for n in self.affected(trouble, nodes, seed) {
-                    lock(&self.nodes)[n].state = NODE_DRAINING;
+                    lock(&self.nodes)[n].state = roster::NODE_DRAINING;
                     self.publish();
                     self.pause(trouble.lasts).await;
                     {
                         let mut nodes = lock(&self.nodes);
-                        (nodes[n].node, nodes[n].state) = (None, NODE_REMOVED);
+                        (nodes[n].node, nodes[n].state) = (None, roster::NODE_REMOVED);
                     }
                     self.publish();
                     self.pause(NODE_RESTART_SECONDS).await;
--- a/crates/gateway/src/discovery/service.rs
+++ b/crates/gateway/src/discovery/service.rs
@@ -200,9 +200,9 @@
         format!("nodes[{index}].address: expected an address and a port, found {:?}", node.address)
     })?;
     let state = match node.state {
-        0 => State::Ready,
-        1 => State::Draining,
-        2 => State::Gone,
+        roster::NODE_READY => State::Ready,
+        roster::NODE_DRAINING => State::Draining,
+        roster::NODE_REMOVED => State::Gone,
         other => return Err(format!("nodes[{index}].state: expected 0 to 2, found {other}")),
     };
     let roster::Node { zone, cell, kind, size, started_ms, .. } = node;
--- a/crates/testbed/src/registry.rs
+++ b/crates/testbed/src/registry.rs
@@ -7,7 +7,7 @@
 use chalkgap_transport::{while_alive, Pipe, Turn};
 use chalkgap_wire::grpc::{self, Deframer};
 use chalkgap_wire::http2::{Config, Connection, Event, Field};
-use chalkgap_wire::roster::{List, Node, WatchRequest};
+use chalkgap_wire::roster::{List, Node, WatchRequest, NODE_READY};
 use prost::Message;
 use std::collections::{BTreeMap, HashMap};
 use std::io;
@@ -18,8 +18,6 @@
 /// Maximum number of lists that wait for a watcher that does not read.
 const MAX_PENDING_LISTS: usize = 100;
 const MAX_REQUEST_BYTES: usize = 1000;
-/// The state value of a listed node that accepts work.
-const READY: u32 = 0;
 
 /// The address to advertise by gateway and listed address, for nodes that a gateway reaches through a relay.
 pub type AdvertisedAddresses = HashMap<(u16, String), String>;
@@ -113,7 +111,8 @@
         let now = self.runtime.now();
         for listed in &list.nodes {
             if let Ok(node) = listed.address.parse() {
-                self.journal.note(now, Seen::Told { ingress: gateway, node, ready: listed.state == READY });
+                self.journal
+                    .note(now, Seen::Told { ingress: gateway, node, ready: listed.state == NODE_READY });
             }
         }
     }
--- a/crates/wire/src/roster.rs
+++ b/crates/wire/src/roster.rs
@@ -27,6 +27,13 @@
     pub nodes: Vec<Node>,
 }
 
+/// The [`Node::state`] of a node that accepts requests.
+pub const NODE_READY: u32 = 0;
+/// The [`Node::state`] of a node that drains.
+pub const NODE_DRAINING: u32 = 1;
+/// The [`Node::state`] of a node that was removed.
+pub const NODE_REMOVED: u32 = 2;
+
 /// A node of the list.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Node {
@@ -40,7 +47,7 @@
     /// Kind of the node's machine.
     #[prost(string, tag = "4")]
     pub kind: String,
-    /// 0: accepts requests, 1: draining, 2: removed.
+    /// [`NODE_READY`], [`NODE_DRAINING`] or [`NODE_REMOVED`].
     #[prost(uint32, tag = "5")]
     pub state: u32,
     /// Capacity of the node relative to other nodes; a positive number.
