MQTT: a publish whose identifier is in use twice is acknowledged when the other is discarded

Callers saw: no PUBACK for a publish of QoS 1, and a Receive Maximum that was lower by one from then on. Cause: Server::forget removed all publishes of an identifier and counted one. Change: forget ends one of them, by the function that answer uses. Test: one_of_two_publishes_with_the_same_identifier_is_forgotten; before, no PUBACK was sent.

--- a/crates/wire/src/mqtt/server.rs
+++ b/crates/wire/src/mqtt/server.rs
@@ -334,10 +334,8 @@
         match qos {
             QoS::AtMostOnce => {}
             QoS::AtLeastOnce => {
-                let Some(count) = self.unanswered_qos1.get_mut(&packet) else { return };
-                *count -= 1;
-                if *count == 0 {
-                    self.unanswered_qos1.remove(&packet);
+                if !self.end_unanswered_qos1(packet) {
+                    return;
                 }
                 self.unanswered = self.unanswered.saturating_sub(1);
                 self.send(&Packet::PubAck(Ack { packet, code, properties }));
@@ -366,12 +364,22 @@
     pub fn forget(&mut self, qos: QoS, packet: u16) {
         let was_unanswered = match qos {
             QoS::AtMostOnce => false,
-            QoS::AtLeastOnce => self.unanswered_qos1.remove(&packet).is_some(),
+            QoS::AtLeastOnce => self.end_unanswered_qos1(packet),
             QoS::ExactlyOnce => self.session.inbound.remove(&packet) == Some(Inbound::InProgress),
         };
         self.unanswered -= usize::from(was_unanswered && self.unanswered > 0);
     }
 
+    /// Removes one of the unanswered publishes of QoS 1 with this identifier. Returns false if there is none.
+    fn end_unanswered_qos1(&mut self, packet: u16) -> bool {
+        let Some(count) = self.unanswered_qos1.get_mut(&packet) else { return false };
+        *count -= 1;
+        if *count == 0 {
+            self.unanswered_qos1.remove(&packet);
+        }
+        true
+    }
+
     /// Accepts the client with CONNACK and resumes its session, if there is one.
     pub fn accept(&mut self, session: Option<Session>, properties: Properties) {
         if self.state != State::Connecting {
--- a/crates/wire/tests/mqtt_server.rs
+++ b/crates/wire/tests/mqtt_server.rs
@@ -128,6 +128,26 @@
     assert!(server.closed());
 }
 
+/// A client may reuse an identifier before its publish of QoS 1 is answered. If one of the two publishes is discarded, the other
+/// must still be answered, and neither may count against the Receive Maximum afterwards.
+#[test]
+fn one_of_two_publishes_with_the_same_identifier_is_forgotten() {
+    let mut server = open(Version::V5, None);
+    for _ in 0..2 {
+        send(&mut server, Version::V5, &publish(QoS::AtLeastOnce, 1, false)).unwrap();
+    }
+    server.forget(QoS::AtLeastOnce, 1);
+    server.answer(QoS::AtLeastOnce, 1, SUCCESS, Properties::default());
+    assert_eq!(sent(&mut server, Version::V5), [Packet::PubAck(ack(1, SUCCESS))]);
+    for packet in 2..5 {
+        send(&mut server, Version::V5, &publish(QoS::AtLeastOnce, packet, false)).unwrap();
+    }
+    assert_eq!(
+        send(&mut server, Version::V5, &publish(QoS::AtLeastOnce, 5, false)),
+        Err(RECEIVE_MAXIMUM_EXCEEDED)
+    );
+}
+
 #[test]
 fn topic_aliases_replace_topics_up_to_the_maximum() {
     let mut server = open(V5, None);
