MQTT: an invalid CONNECT is refused with its reason

Callers saw: the end of their connection and no reason. Cause: Server::fail closed the state machine, and the CONNACK that the gateway wrote after it was discarded. Change: before a client is accepted an error leaves the state Invalid, in which refuse still answers. Test: an_invalid_connect_is_refused_with_its_reason; before, no byte arrived.

--- a/crates/gateway/tests/mqtt.rs
+++ b/crates/gateway/tests/mqtt.rs
@@ -378,6 +378,25 @@
     });
 }
 
+/// An invalid CONNECT is answered by the CONNACK with its reason, so that the client does not only see its connection end.
+#[test]
+fn an_invalid_connect_is_refused_with_its_reason() {
+    run(|system| async move {
+        let fixture = start(system).await;
+        let mut stream = fixture.runtime.connect(fixture.ingress.mqtt_address().unwrap()).await.unwrap();
+        // CONNECT of MQTT 5.0 whose reserved flag is set [MQTT-3.1.2-3].
+        let bytes = b"\x10\x0e\x00\x04MQTT\x05\x03\x00\x0a\x00\x00\x01c";
+        stream.write_all(bytes).await.unwrap();
+        let mut all = Vec::new();
+        stream.read_to_end(&mut all).await.expect("the connection ended with a reset");
+        let refusal = decode(&mut all[..].into(), Some(Version::V5), 1 << 20);
+        assert!(
+            matches!(&refusal, Ok(Some(Packet::ConnAck(ConnAck { code: MALFORMED_PACKET, .. })))),
+            "{refusal:?}, {all:?}"
+        );
+    });
+}
+
 /// A client whose session is taken over, and that neither reads nor closes, does not delay the new client by 0.9 s or more.
 #[test]
 fn a_taken_over_client_that_does_not_close_does_not_delay_the_new_one() {
--- a/crates/wire/src/mqtt/server.rs
+++ b/crates/wire/src/mqtt/server.rs
@@ -114,6 +114,8 @@
     /// CONNECT has been received and not answered.
     Connecting,
     Open,
+    /// The client violated the protocol before it was accepted. [`Server::refuse`] may still tell it the reason.
+    Invalid,
     Closed,
 }
 
@@ -167,15 +169,15 @@
     ///
     /// # Errors
     /// If the client violated the protocol or a limit. The caller closes the connection after writing the output, which
-    /// contains a DISCONNECT if the client was accepted with MQTT 5.0.
+    /// contains a DISCONNECT if the client was accepted with MQTT 5.0. Before that, it may call [`Server::refuse`].
     pub fn receive(&mut self, bytes: &[u8]) -> Result<(), Error> {
-        if self.state == State::Closed {
+        if matches!(self.state, State::Invalid | State::Closed) {
             return Ok(());
         }
         self.received += bytes.len() as u64;
         self.input.extend_from_slice(bytes);
         // Packets after CONNECT are not decoded until it is answered. The caller's read size bounds their bytes.
-        while self.state != State::Connecting && self.state != State::Closed {
+        while matches!(self.state, State::New | State::Open) {
             let packet = match decode(&mut self.input, self.version, self.limits.packet_bytes) {
                 Ok(Some(packet)) => packet,
                 Ok(None) => break,
@@ -188,12 +190,11 @@
         Ok(())
     }
 
-    /// Closes the connection because of an error of the client. Sends DISCONNECT if the client was accepted with MQTT 5.0.
+    /// Ends the connection because of an error of the client. Sends DISCONNECT if the client was accepted with MQTT 5.0.
     fn fail(&mut self, error: Error) -> Error {
         match self.state {
             State::Open => self.disconnect(error.code, None),
-            // An answer with a reason code to an invalid CONNECT is optional [MQTT-3.1.4-2].
-            _ => self.state = State::Closed,
+            _ => self.state = State::Invalid,
         }
         error
     }
@@ -396,7 +397,7 @@
     /// code (MQTT 3.1.1, section 3.2.2.3).
     pub fn refuse(&mut self, code: u8, properties: Properties) {
         use super::reason as r;
-        if !matches!(self.state, State::Connecting | State::New) {
+        if !matches!(self.state, State::Connecting | State::New | State::Invalid) {
             return;
         }
         let version = self.version.unwrap_or(Version::V5);
@@ -469,7 +470,7 @@
 
     /// Returns whether the connection is to be closed after the output is written. Input is ignored.
     pub fn closed(&self) -> bool {
-        self.state == State::Closed
+        matches!(self.state, State::Invalid | State::Closed)
     }
 
     /// Returns whether the client was accepted and the connection is not closed.
