Admission: the end of a request that never began does not make a lower budget loop

Callers saw: nothing; no caller that makes the sequence is known. The gateway would have hung at the next lower descriptor limit. Cause: request_ended listed the idle connection a second time; set_budget takes the first entry until enough connections close, and the stale entry is never removed. Change: request_ended removes the earlier entry of a connection without an open request. Test: the_end_of_a_request_that_never_began_is_harmless; before, set_budget had not ended after 10 s.

--- a/crates/admission/src/decide.rs
+++ b/crates/admission/src/decide.rs
@@ -260,6 +260,11 @@
     pub fn request_ended(&mut self, now: Micros, id: ConnId, served: Option<(u64, bool)>, rejected: bool) {
         self.time_without_stalls(now);
         let Some(connection) = self.connections.get_mut(&id) else { return };
+        if connection.open_requests == 0 {
+            // The request never began, so the connection is in the lists of idle ones already, since an earlier time.
+            self.idle_by_priority[connection.priority as usize].remove(&(connection.since, id));
+            self.idle_after_handshake.remove(&(connection.since, id));
+        }
         connection.open_requests = connection.open_requests.saturating_sub(1);
         let address = connection.address;
         if connection.open_requests == 0 && connection.stage == Stage::Serving {
--- a/crates/admission/tests/decider.rs
+++ b/crates/admission/tests/decider.rs
@@ -408,6 +408,24 @@
     assert_eq!(reject_reason(open_connection(&mut admission, START, 100, always_known)), Some(Reason::Full));
 }
 
+/// The end of a request that never began must not make the next lower budget evict without end.
+#[test]
+fn the_end_of_a_request_that_never_began_is_harmless() {
+    let (sender, evicted) = std::sync::mpsc::channel();
+    std::thread::spawn(move || {
+        let mut admission = decider();
+        for n in 0..4 {
+            open_connection(&mut admission, START, n, address(n as u32));
+        }
+        admission.request_ended(START + SECOND, ConnId(0), None, true);
+        let budget = DescriptorBudget { clients: 0, nodes: 10, spare: 5 };
+        sender.send(admission.set_budget(START + 2 * SECOND, budget)).unwrap();
+    });
+    let mut evicted = evicted.recv_timeout(std::time::Duration::from_secs(10)).expect("set_budget ends");
+    evicted.sort();
+    assert_eq!(evicted, (0..4).map(ConnId).collect::<Vec<_>>());
+}
+
 /// Guards against the following failure: after the descriptor limit was lowered, evicted peers kept their side of the
 /// connection open. Each such connection lingered for a second, and no known client was admitted for that long.
 #[test]
