Core: a streamed answer that fails is not retried

Callers saw: nothing on the hosts of this repository; a host that announces streams and does not finish the request with the break of one would have sent a second answer behind a part of the first, and run the request twice. Cause: may_retry did not ask whether the answer had begun. Change: a request whose answer has begun has no further attempt. Test: a_streamed_answer_that_fails_is_not_retried; before, an attempt was started.

--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -29,7 +29,7 @@
     /// Whether it has its final answer or its client left; only the outcomes of attempts are still expected.
     pub finished: bool,
     /// Whether its answer has begun to stream to the client. Its attempt is then no longer checked for silence or
-    /// cancelled; if the attempt fails nevertheless, the request is retried like any other.
+    /// cancelled; if it fails nevertheless, the request is not retried, as the client has a part of the answer.
     pub streaming: bool,
     /// Whether it is held until an owner of its customer's quota replies.
     pub awaiting_owner: bool,
--- a/crates/core/src/retry.rs
+++ b/crates/core/src/retry.rs
@@ -114,15 +114,19 @@
     }
 
     fn may_retry(&self, request: &InFlightRequest) -> bool {
+        let may_overlap = request.attempts_in_flight() == 0 || self.settings.limits.hedging;
+        may_overlap && self.may_run_again(request)
+    }
+
+    /// Returns whether a request may have a further attempt once it has none in flight.
+    fn may_run_again(&self, request: &InFlightRequest) -> bool {
         let class = &self.settings.classes[usize::from(request.request.class)];
-        let limits = &self.settings.limits;
         let is_safe =
             class.retry_safety != RetrySafety::NotIdempotent || request.first_that_may_have_run().is_none();
         let useful_until = (request.arrived_at + class.latency_objective).min(request.request.deadline);
         let is_useful = self.now + self.settings.tick < useful_until;
-        let has_attempts_left = (request.attempts.len() as u32) < limits.max_attempts;
-        let may_overlap = request.attempts_in_flight() == 0 || limits.hedging;
-        is_safe && is_useful && has_attempts_left && may_overlap
+        let has_attempts_left = (request.attempts.len() as u32) < self.settings.limits.max_attempts;
+        is_safe && is_useful && has_attempts_left && !request.streaming
     }
 
     /// Checks a request's latest attempt. If it is overdue, records the endpoint's silence and hedges the request if
--- a/crates/core/tests/retry.rs
+++ b/crates/core/tests/retry.rs
@@ -173,3 +173,16 @@
         assert_eq!(cancellations(&actions) > 0, hung, "hung: {hung}");
     }
 }
+
+/// The client has a part of a streamed answer. An attempt that fails after that must not be followed by another answer.
+#[test]
+fn a_streamed_answer_that_fails_is_not_retried() {
+    let mut settings = settings();
+    settings.classes[0].streaming = true;
+    let mut harness = Harness::with(settings, 4);
+    let (id, actions) = harness.request(0, 0, 1, 1.0);
+    harness.handle(Event::FirstByte { id, attempt: 0 });
+    let end = harness.finish(id, 0, attempts(&actions)[0], Outcome::Reset);
+    assert!(attempts(&end).is_empty(), "retried after a part of the answer");
+    assert!(is_rejected(&end) || has_failed(&end), "the client gets no end");
+}
