Core: the last attempt of a request is not cancelled for its silence

Callers saw: a refusal or failure at about a third of the useful time, of a request whose answer might still have come, where hedging is not allowed and no attempt was left. Cause: check_attempt cancelled a silent attempt for a retry by the budget alone, without the other conditions of a retry. Change: it asks may_run_again as well, the part of may_retry that does not concern attempts in flight. Test: the_last_attempt_is_not_cancelled_for_its_silence; before, cancelled with no attempt left.

--- a/crates/core/src/retry.rs
+++ b/crates/core/src/retry.rs
@@ -140,13 +140,9 @@
         let has_alert = self.load_shedding.step() > 0;
         let is_repeatable = self.settings.classes[overdue.class].retry_safety != RetrySafety::NotIdempotent;
         let hedges = is_repeatable && (overdue.is_suspect || !has_alert);
-        if hedges
-            && !may_hedge
-            && overdue.is_suspect
-            && may_cancel
-            && self.retry_budget.covers(FULL_RETRY_COST)
-        {
-            // Hedging is not allowed: the attempt is cancelled, and the request may be retried once it has ended.
+        let has_retry = self.may_run_again(&self.requests[&id]) && self.retry_budget.covers(FULL_RETRY_COST);
+        if hedges && !may_hedge && overdue.is_suspect && may_cancel && has_retry {
+            // Hedging is not allowed: the attempt is cancelled, and the request is retried once it has ended.
             if let Some(request) = self.requests.get_mut(&id) {
                 request.cancel_attempts(None, actions);
             }
--- a/crates/core/tests/retry.rs
+++ b/crates/core/tests/retry.rs
@@ -186,3 +186,23 @@
     assert!(attempts(&end).is_empty(), "retried after a part of the answer");
     assert!(is_rejected(&end) || has_failed(&end), "the client gets no end");
 }
+
+/// A silent attempt is cancelled to make room for a retry. The last one that a request may have must not be: its answer may still
+/// come.
+#[test]
+fn the_last_attempt_is_not_cancelled_for_its_silence() {
+    for (max_attempts, cancelled) in [(1, 0), (2, 1)] {
+        let mut settings = settings();
+        settings.limits.hedging = false;
+        settings.limits.max_attempts = max_attempts;
+        let mut harness = Harness::with(settings, 4);
+        let (id, actions) = harness.request(0, 0, 1, 1.0);
+        assert_eq!(attempts(&actions).len(), 1);
+        let silent = harness.advance(900_000);
+        assert_eq!(cancellations(&silent), cancelled, "at most {max_attempts} attempts");
+        if cancelled == 0 {
+            let end = harness.finish(id, 0, attempts(&actions)[0], Outcome::Ok);
+            assert!(!is_rejected(&end) && !has_failed(&end));
+        }
+    }
+}
