--- a/crates/transport/tests/unary_calls.rs
+++ b/crates/transport/tests/unary_calls.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use chalkgap_runtime::system::System;
-use chalkgap_runtime::{Runtime, Shared, Stream};
+use chalkgap_runtime::{Shared, Stream};
 use chalkgap_transport::unary;
 use chalkgap_wire::grpc::Code;
 use chalkgap_wire::http2::{Config, Connection, Event, Field};
