--- a/review/standins/src/bin/pipelined_drain.rs
+++ b/review/standins/src/bin/pipelined_drain.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Mutex};
 
 /// Commands that the client sends at once.
-const FIRST: usize = 32;
+const FIRST: usize = 40;
 /// Commands that it sends on the same connection 100 ms later, 150 ms before SIGTERM.
 const SECOND: usize = 20;
 const CONNECTIONS: usize = 1;
