--- a/review/standins/src/lib.rs
+++ b/review/standins/src/lib.rs
@@ -5,6 +5,7 @@
 use std::fs::File;
 use std::io::{Read, Write};
 use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -74,8 +75,11 @@
 
 extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
+    fn prctl(option: i32, ...) -> i32;
 }
 
+/// `prctl`: the signal that a process gets when the thread that started it ends.
+const PR_SET_PDEATHSIG: i32 = 1;
 pub const SIGHUP: i32 = 1;
 pub const SIGKILL: i32 = 9;
 pub const SIGTERM: i32 = 15;
@@ -122,7 +126,15 @@
         let stderr = std::fs::OpenOptions::new().create(true).append(true).open(&log).unwrap();
         let private = folder.join(format!("{name}.tmp"));
         let _ = std::fs::create_dir_all(&private);
-        let child = Command::new("/bin/sh")
+        let mut command = Command::new("/bin/sh");
+        // SAFETY: `prctl` with this option has no memory effects. The ingress is ended if this run is cut short.
+        unsafe {
+            command.pre_exec(|| {
+                prctl(PR_SET_PDEATHSIG, SIGKILL as u64);
+                Ok(())
+            })
+        };
+        let child = command
             .arg("-c")
             .arg(run_command())
             .env("RELAY_CONFIG", &config_path)
