Platform: a connection closes only when what has arrived is answered and sent

Cause: the session decided to close from its own buffer alone. In a drain it read no more once that buffer was empty and closed when nothing was pending. A test with one pending command shows another: commands that arrive in the drain were lost as well, with no limit reached. The same decision elsewhere: before the kill only buffered commands were rejected; unsent output keeps the ingress from reading, was cut off 0.3 s after the last answer, and hid the commands behind it; a partly received command behind pending ones was given up at once when reading went on.

Change: a draining session goes on reading. The connection is closed in the instant in which nothing is pending or partly received, all output is written and a read finds nothing (Pipe::turn_before_close). 0.25 s before the kill pending requests fail as before, and all that is read from then on is rejected, for 0.1 s at most. The time for the rest of a command in a drain begins when that command can be read. Deadlines are looked at anew when they pass, as the turn may have ended them.

The test client's limit on replies is 1 MiB, as it reads larger values; no check depends on it.

--- a/crates/platform/src/client_connection.rs
+++ b/crates/platform/src/client_connection.rs
@@ -16,6 +16,8 @@
 const COMMAND_TIMEOUT_MICROS: Micros = 2_200_000;
 /// Shorter timeout for the rest of a partly received command on a connection that is to be closed.
 const CLOSING_COMMAND_TIMEOUT_MICROS: Micros = 400_000;
+/// How long commands are still read and rejected after the pending ones were answered as failed. A client may send without end.
+const REJECTING_MICROS: Micros = 100_000;
 /// A client that leaves replies unread for longer than this is disconnected.
 const UNREAD_REPLY_TIMEOUT_MICROS: Micros = 10_000_000;
 
@@ -32,6 +34,8 @@
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum ClientState {
     Connected,
+    /// All that has arrived is answered and the connection is to be closed.
+    Finished,
     Disconnected,
 }
 
@@ -45,7 +49,9 @@
     partial_command: Option<Micros>,
     /// When the connection is closed if the client has still not read its replies.
     unread_reply: Option<Micros>,
-    /// When a partly received command is discarded, in a graceful shutdown.
+    /// When reading ends, shortly before the process is killed.
+    end_of_input: Option<Micros>,
+    /// When a command that has not arrived completely is no longer awaited, in a graceful shutdown.
     closing_command: Option<Micros>,
 }
 
@@ -57,6 +63,7 @@
             self.partial_command,
             self.unread_reply,
             self.closing_command,
+            self.end_of_input,
         ];
         all.into_iter().flatten().min()
     }
@@ -73,6 +80,8 @@
     partial_command_since: Option<Micros>,
     /// When the graceful shutdown of this connection began.
     closing_since: Option<Micros>,
+    /// Whether the pending requests were answered as failed because the process is about to be killed.
+    pending_failed: bool,
 }
 
 impl ClientConnection {
@@ -89,13 +98,15 @@
             open_requests: HashMap::new(),
             partial_command_since: None,
             closing_since: None,
+            pending_failed: false,
         };
-        while connection.turn(&mut pipe).await == ClientState::Connected {
-            if pipe.conn.is_finished() {
-                let until = connection.context.runtime.now() + LINGER_MICROS;
-                connection.permit.linger(pipe.close(until)).await;
-                break;
-            }
+        let mut state = ClientState::Connected;
+        while state == ClientState::Connected {
+            state = connection.turn(&mut pipe).await;
+        }
+        if state == ClientState::Finished {
+            let until = connection.context.runtime.now() + LINGER_MICROS;
+            connection.permit.linger(pipe.close(until)).await;
         }
         connection.cancel_requests().await;
     }
@@ -104,7 +115,15 @@
     async fn turn(&mut self, pipe: &mut ClientPipe) -> ClientState {
         let deadlines = self.deadlines(pipe);
         let read = pipe.conn.wants_input();
-        match pipe.turn(deadlines.earliest(), read).await {
+        let turn = if pipe.conn.can_close() {
+            match pipe.turn_before_close(deadlines.earliest(), read).await {
+                Some(turn) => turn,
+                None => return ClientState::Finished,
+            }
+        } else {
+            pipe.turn(deadlines.earliest(), read).await
+        };
+        match turn {
             Turn::Read => {}
             Turn::Command(response) => {
                 self.answer(response, &mut pipe.conn);
@@ -114,7 +133,7 @@
             }
             Turn::Signal => self.on_close_signal(pipe),
             Turn::Time => {
-                if self.on_deadline(&deadlines, pipe).await == ClientState::Disconnected {
+                if self.on_deadline(pipe).await == ClientState::Disconnected {
                     return ClientState::Disconnected;
                 }
             }
@@ -139,18 +158,21 @@
         let session = &pipe.conn;
         let fail_pending_at = self.context.fail_pending_at.load(Ordering::Relaxed);
         let awaits_first_command = session.commands_received() == 0 && !session.has_stopped_reading();
-        let closing_since = self.closing_since.filter(|_| session.wants_input());
+        let partial_command = self.partial_command_since;
+        let closing_since = self.closing_since.filter(|_| session.awaits_only_input());
+        let closing_command = closing_since.map(|since| partial_command.unwrap_or(since).max(since));
         Deadlines {
-            fail_pending: (fail_pending_at > 0).then_some(fail_pending_at),
+            fail_pending: (fail_pending_at > 0 && !self.pending_failed).then_some(fail_pending_at),
+            end_of_input: (self.pending_failed && !session.has_stopped_reading())
+                .then_some(fail_pending_at + REJECTING_MICROS),
             first_command: awaits_first_command.then_some(self.admitted_at + COMMAND_TIMEOUT_MICROS),
-            partial_command: self.partial_command_since.map(|since| since + COMMAND_TIMEOUT_MICROS),
+            partial_command: partial_command.map(|since| since + COMMAND_TIMEOUT_MICROS),
             unread_reply: pipe.backlog().map(|(since, _)| since + UNREAD_REPLY_TIMEOUT_MICROS),
-            closing_command: closing_since.map(|since| since + CLOSING_COMMAND_TIMEOUT_MICROS),
+            closing_command: closing_command.map(|since| since + CLOSING_COMMAND_TIMEOUT_MICROS),
         }
     }
 
-    /// Handles the gate's signal to close the connection. While input is wanted, the pipe reports the signal only after it has
-    /// read all received bytes.
+    /// Handles the gate's signal to close the connection.
     fn on_close_signal(&mut self, pipe: &mut ClientPipe) {
         let now = self.context.runtime.now();
         let partial_command = self.partial_command_since;
@@ -167,16 +189,19 @@
         }
     }
 
-    /// Handles a deadline that has passed.
-    async fn on_deadline(&mut self, deadlines: &Deadlines, pipe: &mut ClientPipe) -> ClientState {
+    /// Handles a deadline that has passed. What the turn has read and written may have ended or prolonged it.
+    async fn on_deadline(&mut self, pipe: &mut ClientPipe) -> ClientState {
         let now = self.context.runtime.now();
+        let deadlines = self.deadlines(pipe);
         let is_due = |deadline: Option<Micros>| deadline.is_some_and(|deadline| deadline <= now);
         if is_due(deadlines.fail_pending) {
             self.fail_pending(&mut pipe.conn).await;
+        } else if is_due(deadlines.end_of_input) {
+            pipe.conn.stop_reading();
         } else if is_due(deadlines.unread_reply) {
             return ClientState::Disconnected;
         } else if is_due(deadlines.closing_command) {
-            pipe.conn.abandon_partial_command();
+            pipe.conn.stop_reading();
         } else if is_due(deadlines.partial_command) || is_due(deadlines.first_command) {
             add(&self.context.telemetry.too_slow);
             pipe.conn.fail("ERR no whole command in time");
@@ -221,14 +246,15 @@
         session.answer(response.token, response.answer);
     }
 
-    /// Answers all pending requests with the error for a timeout and rejects the commands that are not parsed yet. Called when
-    /// the process is about to be killed.
+    /// Answers all pending requests with the error for a timeout and rejects the commands that are not parsed yet, those that
+    /// are still unread included. Called when the process is about to be killed.
     async fn fail_pending(&mut self, session: &mut Session) {
+        self.pending_failed = true;
         for token in self.cancel_requests().await {
             self.permit.request_ended(RequestEnd::Other);
             session.answer(token, Answer::Failed { late: true });
         }
-        session.reject_buffered_commands();
+        session.start_rejecting();
     }
 
     /// Cancels the requests in flight and returns their tokens.
--- a/crates/platform/src/session.rs
+++ b/crates/platform/src/session.rs
@@ -6,7 +6,7 @@
 use bytes::{Bytes, BytesMut};
 use chalkgap::frontend::Answer;
 use chalkgap_core::Micros;
-use chalkgap_resp::{decode_command, put_bulk, put_error, Limits};
+use chalkgap_resp::{decode_command, put_bulk, put_error, Command, Limits};
 use chalkgap_transport::Machine;
 use std::collections::VecDeque;
 use std::convert::Infallible;
@@ -35,15 +35,14 @@
     Answered(Answer),
 }
 
-/// How much of the client's input is still read. A connection passes through the phases in this order and may skip some.
+/// What happens to the client's input. A connection passes through the phases in this order and may skip some.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum ReadPhase {
     Open,
-    /// Only commands that have already been received, completely or in part, are still parsed, and the first command of
-    /// a connection that has sent none.
+    /// As `Open`, until no command is pending or partly received.
     Draining,
-    /// Only complete commands in the buffer are still parsed.
-    BufferedOnly,
+    /// As `Draining`, but commands are rejected and not forwarded.
+    Rejecting,
     Stopped,
 }
 
@@ -117,31 +116,15 @@
                 }
             };
             self.commands_received += 1;
-            if command.arguments.len() == 1 && command.arguments[0].eq_ignore_ascii_case(b"PING") {
-                self.slots.push_back(ReplySlot::Encoded(Bytes::from_static(b"+PONG\r\n")));
-                continue;
-            }
-            let token = self.first_token.wrapping_add(self.slots.len() as u32);
-            let parsed = self.parser.parse(command);
-            match parsed.and_then(|request| {
-                if reserve_id(request.id) {
-                    Ok(request)
-                } else {
-                    Err(InvalidRequest::DuplicateId)
-                }
-            }) {
+            match self.parse_command(command, &mut reserve_id) {
                 Ok(request) => {
+                    let token = self.first_token.wrapping_add(self.slots.len() as u32);
                     self.slots.push_back(ReplySlot::Pending(request.id));
                     return Some(IncomingRequest { token, request });
                 }
-                Err(error) => {
-                    self.slots.push_back(ReplySlot::Encoded(encode_error(&format!("ERR {error}"))));
-                }
+                Err(reply) => self.slots.push_back(ReplySlot::Encoded(reply)),
             }
         }
-        if self.phase == ReadPhase::BufferedOnly && self.slots.len() < MAX_PENDING_COMMANDS {
-            self.stop_reading(); // the rest of the buffer is an incomplete command
-        }
         if self.input.is_empty() {
             self.input = BytesMut::new(); // an idle connection holds no buffer
         }
@@ -149,24 +132,34 @@
         None
     }
 
-    /// Starts the graceful shutdown. Must be called when all received bytes have been read. Commands that have been received,
-    /// completely or in part, are still answered, as is the first command of a connection that has sent none.
-    pub fn start_draining(&mut self) {
-        self.phase = self.phase.max(ReadPhase::Draining);
+    /// Parses a command into a request. Returns the encoded reply to a command that needs no backend.
+    fn parse_command(
+        &self,
+        command: Command,
+        reserve_id: &mut impl FnMut(u64) -> bool,
+    ) -> Result<Request, Bytes> {
+        if self.phase == ReadPhase::Rejecting {
+            return Err(encode_error("BUSY"));
+        }
+        if command.arguments.len() == 1 && command.arguments[0].eq_ignore_ascii_case(b"PING") {
+            return Err(Bytes::from_static(b"+PONG\r\n"));
+        }
+        let request = self.parser.parse(command).map_err(|error| encode_error(&format!("ERR {error}")))?;
+        if reserve_id(request.id) {
+            return Ok(request);
+        }
+        Err(encode_error(&format!("ERR {}", InvalidRequest::DuplicateId)))
     }
 
-    /// Stops waiting for the rest of an incomplete command. Complete commands in the buffer are still answered.
-    pub fn abandon_partial_command(&mut self) {
-        self.phase = self.phase.max(ReadPhase::BufferedOnly);
+    /// Starts the graceful shutdown. Commands are read and answered as before; the session can be closed between two of them,
+    /// see [`Session::can_close`].
+    pub fn start_draining(&mut self) {
+        self.phase = self.phase.max(ReadPhase::Draining);
     }
 
-    /// Rejects the complete commands in the buffer, for which no attempt has been made, and stops reading.
-    pub fn reject_buffered_commands(&mut self) {
-        while let Ok(Some(_)) = decode_command(&mut self.input, &COMMAND_LIMITS) {
-            self.slots.push_back(ReplySlot::Encoded(encode_error("BUSY")));
-        }
-        self.stop_reading();
-        self.flush();
+    /// Rejects the commands that are not parsed yet, for which no attempt has been made, and all that are read from now on.
+    pub fn start_rejecting(&mut self) {
+        self.phase = self.phase.max(ReadPhase::Rejecting);
     }
 
     /// Sets the answer to a request. Returns the request's id, or `None` if no request of this token is pending.
@@ -198,22 +191,23 @@
         self.phase == ReadPhase::Stopped
     }
 
-    /// Whether the connection can be closed once its output is written. A draining connection first waits for the client's
-    /// first command.
-    pub fn is_finished(&self) -> bool {
-        let drained =
-            self.phase >= ReadPhase::Draining && self.input.is_empty() && self.commands_received > 0;
-        (self.phase == ReadPhase::Stopped || drained) && self.slots.is_empty()
+    /// Whether the connection can be closed once its output is written and no byte that the client has sent is unread: an unread
+    /// command would get no answer. A draining connection first waits for the client's first command.
+    pub fn can_close(&self) -> bool {
+        let is_drained = self.phase >= ReadPhase::Draining && !self.awaits_command();
+        (self.phase == ReadPhase::Stopped || is_drained) && self.is_idle()
     }
 
     /// Whether the caller should read bytes from the client now.
     pub fn wants_input(&self) -> bool {
-        let has_room = self.slots.len() < MAX_PENDING_COMMANDS && self.input.len() < MAX_BUFFERED_BYTES;
-        match self.phase {
-            ReadPhase::Open => has_room,
-            ReadPhase::Draining => has_room && (!self.input.is_empty() || self.commands_received == 0),
-            ReadPhase::BufferedOnly | ReadPhase::Stopped => false,
-        }
+        self.phase != ReadPhase::Stopped
+            && self.slots.len() < MAX_PENDING_COMMANDS
+            && self.input.len() < MAX_BUFFERED_BYTES
+    }
+
+    /// Whether the client has sent a part of a command, or no command yet.
+    fn awaits_command(&self) -> bool {
+        !self.input.is_empty() || self.commands_received == 0
     }
 
     /// Whether the buffer holds an incomplete or unparsed command.
@@ -221,6 +215,11 @@
         !self.input.is_empty()
     }
 
+    /// Whether nothing keeps the connection open but a command that has not arrived completely.
+    pub fn awaits_only_input(&self) -> bool {
+        self.phase != ReadPhase::Stopped && self.is_idle() && self.awaits_command()
+    }
+
     /// Returns the number of complete commands that have been parsed.
     pub fn commands_received(&self) -> u64 {
         self.commands_received
--- a/crates/platform/tests/common/mod.rs
+++ b/crates/platform/tests/common/mod.rs
@@ -13,9 +13,9 @@
 pub const LIMITS: Limits = Limits {
     max_elements: 8,
     max_depth: 2,
-    max_bulk_bytes: 1 << 17,
+    max_bulk_bytes: 1 << 20,
     max_line_bytes: 600,
-    max_item_bytes: 1 << 18,
+    max_item_bytes: 1 << 21,
 };
 /// A valid reply of a backend: the value, a null second element, and a load report.
 pub const GOOD_REPLY: &[u8] = b"*3\r\n$5\r\nvalue\r\n$-1\r\n$7\r\ndepth=2\r\n";
--- a/crates/platform/tests/state_machines/sessions.rs
+++ b/crates/platform/tests/state_machines/sessions.rs
@@ -31,11 +31,11 @@
     assert!(!session.wants_input(), "input after a malformed command is not read");
     assert_eq!(session.answer(tokens[1], Answer::Rejected { retry_after: 1500 }), Some(10));
     assert!(session.output().is_empty(), "the earlier request has no reply yet");
-    assert!(!session.is_finished(), "earlier requests still get their replies");
+    assert!(!session.can_close(), "earlier requests still get their replies");
     session.answer(tokens[0], served("value"));
     let text = String::from_utf8(session.output().to_vec()).unwrap();
     assert!(text.starts_with("$5\r\nvalue\r\n+PONG\r\n-BUSY 2\r\n-ERR unreadable command: byte 5"), "{text}");
-    assert!(session.is_finished());
+    assert!(session.can_close());
     assert_eq!(session.answer(tokens[0], served("again")), None, "a request is answered once");
 }
 
--- a/crates/transport/src/pipe.rs
+++ b/crates/transport/src/pipe.rs
@@ -123,6 +123,21 @@
         future::poll_fn(|cx| self.poll_turn(cx, until, read)).await
     }
 
+    /// The same as [`Pipe::turn`] for a connection that is to be closed. Returns `None` once all output is written and, if `read`
+    /// is true, no received byte is unread: a close at that instant loses nothing that had arrived.
+    pub async fn turn_before_close(
+        &mut self,
+        until: Option<Micros>,
+        read: bool,
+    ) -> Option<Turn<C, M::Error>> {
+        future::poll_fn(|cx| match self.poll_turn(cx, until, read) {
+            Poll::Ready(turn) => Poll::Ready(Some(turn)),
+            Poll::Pending if self.backlog.is_none() => Poll::Ready(None),
+            Poll::Pending => Poll::Pending,
+        })
+        .await
+    }
+
     /// Closes the connection gracefully: writes the remaining output, shuts the write side, and discards what the peer
     /// still sends until the peer shuts its write side. Gives up at the time `until`.
     ///
