Platform: the timeout for a command does not run while its rest cannot be read

Callers that read large values slowly got "-ERR no whole command in time" and a closed connection, for a command whose rest they had sent at once.

Cause: unsent output of 256 KiB keeps the pipe from reading, but the timeout of 2.2 s for a partly received command went on; so did the shorter one of a drain. Nothing showed the connection that its pipe did not read.

Change: the pipe knows since when it has read without a pause (Pipe::awaiting_since), a wait for the driver's queue included, and timeouts for the client's bytes begin there.

The test a_command_behind_unsent_output_does_not_time_out failed before (the reply after 16 large values was that error) and passes now.

--- a/crates/platform/src/client_connection.rs
+++ b/crates/platform/src/client_connection.rs
@@ -158,7 +158,7 @@
         let session = &pipe.conn;
         let fail_pending_at = self.context.fail_pending_at.load(Ordering::Relaxed);
         let awaits_first_command = session.commands_received() == 0 && !session.has_stopped_reading();
-        let partial_command = self.partial_command_since;
+        let partial_command = self.partial_command_since.map(|since| pipe.awaiting_since(since));
         let closing_since = self.closing_since.filter(|_| session.awaits_only_input());
         let closing_command = closing_since.map(|since| partial_command.unwrap_or(since).max(since));
         Deadlines {
--- a/crates/platform/tests/unread_commands.rs
+++ b/crates/platform/tests/unread_commands.rs
@@ -192,3 +192,13 @@
     assert!(error.starts_with("-ERR unreadable command"), "{error}");
     assert_eq!(client.reply_text(), "closed");
 }
+
+/// The timeout for the rest of a command ran while unsent output kept the ingress from reading that rest.
+#[test]
+fn a_command_behind_unsent_output_does_not_time_out() {
+    let last = query(1 + LARGE_VALUES);
+    let (_fixture, mut client) = start_with_unsent_output(&last[..20], QUICK, &[]);
+    client.write(&last[20..]);
+    std::thread::sleep(ms(2600)); // longer than the timeout for the rest of a command
+    assert_answered_behind_large_values(&mut client, 1);
+}
--- a/crates/transport/src/pipe.rs
+++ b/crates/transport/src/pipe.rs
@@ -53,6 +53,8 @@
     backlog: Option<(Micros, u64)>,
     /// The time of the next check for whether the peer has left. `None` while the stream is read.
     next_peer_check: Option<Micros>,
+    /// The time since which the stream has been read without a pause. `None` while it is not read.
+    reading_since: Option<Micros>,
 }
 
 impl<C, M: Machine> Pipe<C, M> {
@@ -74,6 +76,7 @@
             signal: Some(Box::pin(signal)),
             backlog: None,
             next_peer_check: None,
+            reading_since: None,
         }
     }
 
@@ -83,6 +86,12 @@
         self.backlog
     }
 
+    /// Returns the time since which the peer has had to wait for nothing but its own bytes, if they are awaited since `since`. A
+    /// timeout for bytes of the peer starts there: while the stream is not read, the bytes may have arrived.
+    pub fn awaiting_since(&self, since: Micros) -> Micros {
+        since.max(self.reading_since.unwrap_or_else(|| self.runtime.now()))
+    }
+
     /// Watches another signal instead of the one passed before. It is reported once, as [`Turn::Signal`].
     pub fn watch(&mut self, signal: Receiver<()>) {
         self.signal = Some(Box::pin(signal));
@@ -103,6 +112,7 @@
             Err(TrySendError::Closed(_)) => return Some(false),
             Err(TrySendError::Full(item)) => item,
         };
+        self.reading_since = None;
         let sent = async { Some(channel.send(item).await.is_ok()) };
         let runtime = &self.runtime;
         let stream = &mut self.stream;
@@ -174,7 +184,11 @@
             }
         }
         let reads = below_high_water && read;
-        if reads {
+        if !reads {
+            self.reading_since = None;
+        } else {
+            let now = self.runtime.now();
+            self.reading_since.get_or_insert(now);
             if let Poll::Ready(turn) = self.poll_read(cx) {
                 return Poll::Ready(turn);
             }
