MQTT: the keep-alive timeout does not run while the client is not read

A client whose publish was pending in a drain got DISCONNECT (keep alive timeout, 141) after 1.5 times its interval, although it had sent PINGREQ all the time, and its publish of QoS 1 was cancelled and never acknowledged.

Change: it begins when the pipe reads.

--- a/crates/gateway/src/frontends/mqtt/connection.rs
+++ b/crates/gateway/src/frontends/mqtt/connection.rs
@@ -102,7 +102,11 @@
         let turn = async { Some(pipe.turn(deadlines.next(), may_read).await) };
         let turn = future::or(taken_over, turn).await;
         let flow = match turn {
-            Some(turn) => connection.on_turn(turn, &deadlines, &mut pipe),
+            Some(turn) => {
+                // Whether the client is read may have changed during the turn.
+                let deadlines = connection.deadlines(&pipe, opened_at, last_packet_at);
+                connection.on_turn(turn, &deadlines, &mut pipe)
+            }
             None => connection.on_taken_over(&mut pipe),
         };
         if flow.is_break() {
@@ -148,7 +152,8 @@
     fn deadlines(&self, pipe: &ClientPipe, opened_at: Micros, last_packet_at: Micros) -> TurnDeadlines {
         let minimum = self.permit.minimum_throughput();
         let keep_alive = if pipe.conn.open() {
-            pipe.conn.keep_alive_timeout().map(|seconds| last_packet_at + (seconds * 1e6) as Micros)
+            let silent_since = pipe.awaiting_since(last_packet_at);
+            pipe.conn.keep_alive_timeout().map(|seconds| silent_since + (seconds * 1e6) as Micros)
         } else {
             Some(opened_at + minimum.grace_period)
         };
--- a/crates/gateway/tests/mqtt.rs
+++ b/crates/gateway/tests/mqtt.rs
@@ -455,6 +455,39 @@
     });
 }
 
+/// In a drain, a client was disconnected for its silence while its packets were not read, and its publish was not answered.
+#[test]
+fn the_keep_alive_timeout_does_not_end_a_publish_in_a_drain() {
+    run(|system| async move {
+        let mut fixture = start(system).await;
+        fixture.nodes.iter().for_each(|n| n.set_faults(Faults { hang: true, ..Faults::default() }));
+        let connect = Connect { keep_alive: 1, ..connect_packet(Version::V5, "c") };
+        let (mut client, _) = RawClient::open(&fixture, connect).await;
+        client.send(&Packet::Publish(publish(SAFE_TOPIC, QoS::AtLeastOnce, 1, 1))).await;
+        let started = |seen: &Seen| matches!(seen, Seen::Arrived { .. });
+        eventually(&fixture.runtime, "an attempt", || count_entries(&fixture, started) > 0).await;
+        let deadline = fixture.runtime.now() + 8_000_000;
+        let runtime = fixture.runtime.clone();
+        let answered = async {
+            loop {
+                // Less than the keep alive interval between two packets.
+                let next = async { Some(client.next().await) };
+                let pause = async {
+                    sleep_ms(&runtime, 500).await;
+                    None
+                };
+                match future::or(next, pause).await {
+                    Some(packet) => return packet,
+                    None => client.send(&Packet::PingReq).await,
+                }
+            }
+        };
+        let (packet, drained) = future::zip(answered, fixture.ingress.drain(deadline)).await;
+        assert!(matches!(packet, Some(Packet::PubAck(Ack { packet: 1, .. }))), "{packet:?}");
+        assert!(drained, "the drain did not complete");
+    });
+}
+
 /// A restarted ingress restores the QoS 2 state of its sessions: it completes a PUBREL for a PUBLISH that it received before
 /// the restart, and does not run a repeated PUBLISH again.
 #[test]
