Platform: commands that need no backend are all answered, however many one read brings

Cause: replies that are ready took slots of the limit of pending commands until all of the buffer was parsed. They are now encoded at once.

any_number_of_commands_that_need_no_backend_is_answered_at_once failed before (32 replies of 96).

--- a/crates/platform/src/session.rs
+++ b/crates/platform/src/session.rs
@@ -124,6 +124,7 @@
                 }
                 Err(reply) => self.slots.push_back(ReplySlot::Encoded(reply)),
             }
+            self.flush(); // the reply holds no slot if no request is pending before it
         }
         if self.input.is_empty() {
             self.input = BytesMut::new(); // an idle connection holds no buffer
--- a/crates/platform/tests/state_machines/sessions.rs
+++ b/crates/platform/tests/state_machines/sessions.rs
@@ -52,3 +52,18 @@
     assert!(session.next_request(|_| false).is_none());
     assert_eq!(&session.output()[..], b"-ERR id: a request of this id is open\r\n");
 }
+
+/// Commands that need no backend stayed in the buffer behind the first 32 of one read, and timed out there.
+#[test]
+fn any_number_of_commands_that_need_no_backend_is_answered_at_once() {
+    let count = 3 * MAX_PENDING_COMMANDS;
+    let mut session = Session::new(Arc::new(parser()));
+    assert!(receive_requests(&mut session, &encoded_command(&["PING"]).repeat(count)).is_empty());
+    assert_eq!(&session.output()[..], b"+PONG\r\n".repeat(count));
+    let mut session = Session::new(Arc::new(parser()));
+    session.start_rejecting();
+    let queries = encoded_command(&["SVC.QUERY", CUSTOMER, ID, QUERY]).repeat(count);
+    assert!(receive_requests(&mut session, &queries).is_empty());
+    assert_eq!(&session.output()[..], b"-BUSY\r\n".repeat(count));
+    assert!(session.can_close());
+}
--- a/crates/platform/tests/unread_commands.rs
+++ b/crates/platform/tests/unread_commands.rs
@@ -3,6 +3,8 @@
 
 use common::{BackendAction, Client, Latch, GOOD_REPLY};
 use rig::{always, ms, queries, query, wait_until, Fixture, Script};
+use std::io::{Read, Write};
+use std::net::Shutdown;
 use std::sync::atomic::{AtomicUsize, Ordering};
 
 mod common;
@@ -202,3 +204,27 @@
     std::thread::sleep(ms(2600)); // longer than the timeout for the rest of a command
     assert_answered_behind_large_values(&mut client, 1);
 }
+
+/// A client that sends commands without end, which need no backend, does not keep the ingress from serving another one.
+#[test]
+fn endless_commands_that_need_no_backend_do_not_delay_others() {
+    let fixture = Fixture::start(vec![always(QUICK)]);
+    let mut good = fixture.client();
+    let flood = fixture.client();
+    std::thread::scope(|scope| {
+        scope.spawn(|| {
+            let pings = b"*1\r\n$4\r\nPING\r\n".repeat(4000);
+            while (&flood.stream).write_all(&pings).is_ok() {}
+        });
+        scope.spawn(|| {
+            let mut chunk = vec![0; 1 << 16];
+            while (&flood.stream).read(&mut chunk).is_ok_and(|count| count > 0) {}
+        });
+        std::thread::sleep(ms(200));
+        for id in 1..=20 {
+            good.query(id, 4000);
+            assert_eq!(good.reply_text(), "value");
+        }
+        flood.stream.shutdown(Shutdown::Both).unwrap();
+    });
+}
