--- a/crates/cli/tests/platform_soak/clients.rs
+++ b/crates/cli/tests/platform_soak/clients.rs
@@ -3,6 +3,8 @@
 use crate::common::Client;
 use crate::history::{Ending, RefusedConnection, Request, Seconds};
 use crate::scenario::Crowd;
+use bytes::BytesMut;
+use chalkgap_resp::put_command;
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 use std::io::Read;
@@ -15,7 +17,7 @@
 /// Clients connect anew for this long after SIGTERM.
 const CONNECT_FOR: Duration = Duration::from_millis(400);
 /// Shortest timeout of a request in milliseconds.
-const MIN_TIMEOUT_MS: u64 = 100;
+pub const MIN_TIMEOUT_MS: u64 = 100;
 /// Requests of a client that reads slowly.
 const SLOW_READER_REQUESTS: u64 = 20;
 /// Pause between two reads of such a client.
@@ -48,24 +50,28 @@
     pub refused: Vec<RefusedConnection>,
 }
 
-struct Connection {
-    client: Client,
+pub struct Connection {
+    pub client: Client,
     is_new: bool,
-    connected_at: Seconds,
+    pub connected_at: Seconds,
 }
 
 impl Shared {
-    fn now(&self) -> Seconds {
+    pub fn now(&self) -> Seconds {
         self.begin.elapsed().as_secs_f64()
     }
 
+    pub fn next_id(&self) -> u64 {
+        self.next_id.fetch_add(1, Ordering::SeqCst)
+    }
+
     fn may_connect(&self, target: &Target) -> bool {
         let sigterm_at = Duration::from_micros(target.sigterm_at.load(Ordering::SeqCst));
         self.begin.elapsed() < sigterm_at.saturating_add(CONNECT_FOR)
     }
 
     /// Connects. Records a refused connection.
-    fn connect(&self, target: &Target, record: &mut Record) -> Option<Connection> {
+    pub fn connect(&self, target: &Target, record: &mut Record) -> Option<Connection> {
         let client = Client::try_connect(target.address);
         let connected_at = self.now();
         if client.is_none() {
@@ -78,7 +84,7 @@
 
     /// Sends a request and waits for its reply.
     fn request(&self, target: &Target, connection: &mut Connection, rng: &mut SmallRng) -> Request {
-        let id = self.next_id.fetch_add(1, Ordering::SeqCst);
+        let id = self.next_id();
         let timeout_ms = rng.random_range(MIN_TIMEOUT_MS..=self.deadline_ms);
         let sent_at = self.now();
         send_request(&mut connection.client, id, timeout_ms, rng.random());
@@ -95,6 +101,7 @@
             is_first: std::mem::replace(&mut connection.is_new, false),
             connected_at: connection.connected_at,
             sent_at,
+            previous_reply_at: sent_at,
             ended_at,
             timeout: timeout_ms as f64 / 1e3,
             ending,
@@ -103,16 +110,23 @@
 }
 
 fn send_request(client: &mut Client, id: u64, timeout_ms: u64, submit: bool) {
+    client.write(&encode_request(id, timeout_ms, submit.then_some("body")));
+}
+
+/// Encodes a submit with this body, or a query if there is none.
+pub fn encode_request(id: u64, timeout_ms: u64, body: Option<&str>) -> BytesMut {
     let id_text = format!("{id:016x}");
     let customer = format!("{:016x}", id % 40);
-    if submit {
+    let mut bytes = BytesMut::new();
+    if let Some(body) = body {
         let attributes =
             format!("c=report-upload,t=team,d={timeout_ms},k={:016x},units=1,spread=1,first=0", !id);
-        client.send(&["SVC.SUBMIT", &customer, &id_text, &attributes, "body"]);
+        put_command(&mut bytes, &["SVC.SUBMIT", &customer, &id_text, &attributes, body].map(str::as_bytes));
     } else {
         let attributes = format!("c=sig-check,t=team,d={timeout_ms},units=1,spread=1,first=0");
-        client.send(&["SVC.QUERY", &customer, &id_text, &attributes]);
+        put_command(&mut bytes, &["SVC.QUERY", &customer, &id_text, &attributes].map(str::as_bytes));
     }
+    bytes
 }
 
 /// Starts a client that sends one request after the other, on one connection as long as that is open.
@@ -189,7 +203,7 @@
     let mut record = Record::default();
     let Some(mut connection) = shared.connect(target, &mut record) else { return record };
     for _ in 0..SLOW_READER_REQUESTS {
-        let id = shared.next_id.fetch_add(1, Ordering::SeqCst);
+        let id = shared.next_id();
         send_request(&mut connection.client, id, shared.deadline_ms, rng.random());
     }
     while !shared.stop.load(Ordering::SeqCst)
--- a/crates/cli/tests/platform_soak/history.rs
+++ b/crates/cli/tests/platform_soak/history.rs
@@ -32,8 +32,10 @@
     pub is_first: bool,
     /// When its connection was requested.
     pub connected_at: Seconds,
-    /// Before the first byte was sent.
+    /// Before the first byte was sent; with several commands on a connection, after the last byte was written.
     pub sent_at: Seconds,
+    /// When the reply before it on its connection was read; the time up to then does not count. `sent_at` if there is none.
+    pub previous_reply_at: Seconds,
     /// After the last byte of the reply, or the end of the connection, was read.
     pub ended_at: Seconds,
     pub timeout: Seconds,
@@ -111,7 +113,8 @@
             Ending::Closed => return self.unanswered_violation(request, reached_backend),
             Ending::Value(_) | Ending::Error(_) => {}
         }
-        let is_late = request.ended_at > request.sent_at + request.timeout + ANSWER_SLACK;
+        let counts_from = request.sent_at.max(request.previous_reply_at);
+        let is_late = request.ended_at > counts_from + request.timeout + ANSWER_SLACK;
         is_late.then_some("answered too late")
     }
 
--- a/crates/cli/tests/platform_soak/main.rs
+++ b/crates/cli/tests/platform_soak/main.rs
@@ -7,7 +7,7 @@
 use backends::Shared as BackendsShared;
 use clients::{Record, Shared as ClientsShared, Target};
 use common::{discovery, Discovery};
-use history::{Arrival, History, ProcessEnd};
+use history::{Arrival, Ending, History, ProcessEnd};
 use running::{command, file, member_config, peer_address, with_replacements, Running};
 use rustix::process::{kill_process, Pid, Signal};
 use scenario::{BackendKind, DiscoveryKind, FileChange, Scenario};
@@ -24,6 +24,7 @@
 #[path = "../../../platform/tests/common/mod.rs"]
 mod common;
 mod history;
+mod pipelining;
 #[path = "../running/mod.rs"]
 mod running;
 mod scenario;
@@ -250,7 +251,12 @@
     let Record { requests, refused } = join_records(clients);
     let lateness = lateness.join().unwrap();
     let arrivals = rig.arrivals.lock().unwrap().clone();
-    println!("  {} requests, {} arrivals, lateness of the test {lateness:?}", requests.len(), arrivals.len());
+    let unanswered = requests.iter().filter(|request| request.ending == Ending::Closed).count();
+    println!(
+        "  {} requests ({unanswered} unanswered), {} arrivals, lateness of the test {lateness:?}",
+        requests.len(),
+        arrivals.len()
+    );
     let repeat_window = scenario.repeat_window_ms() as f64 / 1e3;
     let history = History { requests, arrivals, refused, processes, once: scenario.once, repeat_window };
     let violations = history.violations();
@@ -272,6 +278,15 @@
             let seed = scenario.seed << 16 | (target.process as u64) << 8 | number;
             clients::steady(shared.clone(), target.clone(), seed)
         }));
+        let pipelining = scenario.pipelining.into_iter();
+        clients.extend(
+            pipelining.flat_map(|drawn| (0..drawn.clients as u64).map(move |number| (drawn, number))).map(
+                |(drawn, number)| {
+                    let seed = !(scenario.seed << 16 | (target.process as u64) << 8 | number);
+                    pipelining::start(shared.clone(), target.clone(), drawn, seed)
+                },
+            ),
+        );
     }
     if let Some(crowd) = scenario.crowd {
         let (shared, target, seed) = (shared.clone(), targets[0].clone(), scenario.seed);
--- a/crates/cli/tests/platform_soak/scenario.rs
+++ b/crates/cli/tests/platform_soak/scenario.rs
@@ -63,6 +63,17 @@
     pub partial: usize,
 }
 
+/// Clients that keep several commands on their connections.
+#[derive(Clone, Copy, Debug)]
+pub struct Pipelining {
+    /// Clients of each process.
+    pub clients: usize,
+    /// Commands that a client keeps on its connection.
+    pub window: usize,
+    /// Longest body of a submit.
+    pub max_body_bytes: usize,
+}
+
 /// One run of the soak.
 #[derive(Clone, Debug)]
 pub struct Scenario {
@@ -76,6 +87,7 @@
     /// Clients of each process that use their connections until the kill.
     pub clients: usize,
     pub crowd: Option<Crowd>,
+    pub pipelining: Option<Pipelining>,
     pub backends: Vec<BackendKind>,
     pub discovery: DiscoveryKind,
     pub file_change: FileChange,
@@ -87,6 +99,10 @@
 
 /// The window within which a submit may be repeated, as a fraction of the longest deadline.
 pub const REPEAT_WINDOW_DIVISOR: u64 = 2;
+/// Largest number of commands that a client keeps on its connection.
+const MAX_WINDOW: usize = 150;
+/// Longest body that the platform's protocol allows.
+const MAX_BODY_BYTES: usize = 64 << 10;
 /// Longest request deadline that counts for the kill.
 const MAX_COUNTED_DEADLINE_MS: u64 = 3000;
 /// Shortest time from SIGTERM to the kill, beyond the longest deadline.
@@ -105,6 +121,7 @@
             once: rng.random(),
             clients,
             crowd,
+            pipelining: draw_pipelining(seed, processes),
             backends: draw_backends(&mut rng),
             discovery: *[
                 DiscoveryKind::Working,
@@ -143,6 +160,16 @@
     }
 }
 
+/// Draws from a generator of its own, so that the rest of a seed's scenario stays as it was.
+fn draw_pipelining(seed: u64, processes: usize) -> Option<Pipelining> {
+    let mut rng = SmallRng::seed_from_u64(!(seed << 8 | processes as u64));
+    (rng.random_range(0..3) < 2).then(|| Pipelining {
+        clients: rng.random_range(1..4) / processes.min(2) + usize::from(processes > 1),
+        window: rng.random_range(2..=MAX_WINDOW),
+        max_body_bytes: *[0, 1000, MAX_BODY_BYTES].choose(&mut rng).unwrap(),
+    })
+}
+
 fn draw_backends(rng: &mut SmallRng) -> Vec<BackendKind> {
     let mut backends = vec![BackendKind::Quick];
     for _ in 0..rng.random_range(1..4) {
--- a/crates/cli/tests/platform_soak/violations.rs
+++ b/crates/cli/tests/platform_soak/violations.rs
@@ -9,6 +9,7 @@
         is_first: false,
         connected_at: 0.2,
         sent_at: 1.0,
+        previous_reply_at: 1.0,
         ended_at: 1.05,
         timeout: 0.6,
         ending,
@@ -23,7 +24,12 @@
     Arrival { at, id, is_submit }
 }
 
-/// A history without violations: a value, a refusal, a request that crossed the close, and repeated requests.
+/// A request that waited for the reply before it, so that its own came after its timeout.
+fn request_behind_another(id: u64) -> Request {
+    Request { previous_reply_at: 1.6, ended_at: 2.2, ..request(id, Ending::Error("-BUSY".to_owned())) }
+}
+
+/// A history without violations: a value, a refusal, a request that crossed the close, repeated requests, and one behind another.
 fn good_history() -> History {
     History {
         requests: vec![
@@ -32,6 +38,7 @@
             request(3, Ending::Closed),
             request(4, value(4)),
             request(5, value(5)),
+            request_behind_another(6),
         ],
         arrivals: vec![
             arrival(1, 1.02, true),
@@ -57,11 +64,12 @@
 fn each_violation_is_reported() {
     assert_eq!(good_history().violations(), Vec::<String>::new());
     type Change = fn(&mut History);
-    let changes: [(&str, Change); 13] = [
+    let changes: [(&str, Change); 14] = [
         ("a wrong value", |history| history.requests[0].ending = value(9)),
         ("a value that no backend sent", |history| history.arrivals[0].id = 9),
         ("answered too late", |history| history.requests[0].ended_at = 1.67),
         ("answered too late", |history| history.requests[1].ended_at = 1.67),
+        ("answered too late", |history| history.requests[5].ended_at = 2.27),
         ("reached a backend, not answered", |history| history.arrivals.push(arrival(3, 1.0, false))),
         ("new connection closed without a reply", |history| {
             (history.requests[2].is_first, history.requests[2].connected_at) = (true, 1.39);
