Platform: a failed call to discovery is logged with its request, phase, age and reason

Each failed call now carries what it requested, how far it got (connecting, awaiting the answer, awaiting a list, reading a list), its age and why it ended; the first failure after a list is a warning, the others debug lines.

The call is one state that is polled, in place of futures around its stream, so that its phase can be read at any time.

--- a/crates/platform/src/discovery/backoff.rs
+++ b/crates/platform/src/discovery/backoff.rs
@@ -1,5 +1,6 @@
 //! Decides when discovery is called again after a failure, and with which request.
 
+use super::call::CallPhase;
 use super::error::DiscoveryError;
 use super::timeouts::{DiscoveryTimeouts, POLL_QUEUE_MICROS};
 use chalkgap_core::Discovery;
@@ -69,7 +70,9 @@
     pub(super) fn record_failure(&mut self, error: &DiscoveryError, has_list: bool) -> bool {
         self.needs_complete_list = matches!(error, DiscoveryError::RejectedList(_)) || !has_list;
         self.slow_lists = match error {
-            DiscoveryError::SlowList { .. } => (self.slow_lists + 1).min(MAX_CALL_DOUBLINGS),
+            DiscoveryError::Timeout { phase: CallPhase::ReadingList, .. } => {
+                (self.slow_lists + 1).min(MAX_CALL_DOUBLINGS)
+            }
             _ => 0,
         };
         !std::mem::replace(&mut self.failure_reported, true)
--- a/crates/platform/src/discovery/call.rs
+++ b/crates/platform/src/discovery/call.rs
@@ -1,103 +1,237 @@
-//! One request to discovery on its own connection, with timeouts.
+//! One request to discovery on its own connection.
 
 use super::error::DiscoveryError;
 use crate::discovery_client::{DiscoveryClient, ResponseError};
 use crate::endpoint_list::EndpointList;
-use chalkgap_runtime::{Micros, Shared, Stream};
-use futures_lite::{future, AsyncReadExt, AsyncWriteExt};
-use std::future::Future;
+use chalkgap_runtime::{Alarm, BoxFuture, Micros, Shared, Stream};
+use futures_lite::{ready, AsyncRead, AsyncWriteExt};
+use std::fmt;
+use std::future::poll_fn;
 use std::net::SocketAddr;
+use std::pin::Pin;
+use std::task::{Context, Poll};
 
 const READ_BUFFER_BYTES: usize = 8 << 10;
 
-/// A request to discovery on its own connection.
-pub(super) struct DiscoveryCall<'a> {
-    runtime: &'a Shared,
-    /// Timeout for the complete list, or for the rest of a partly received list.
-    timeout: Micros,
-    started_at: Micros,
-    stream: Box<dyn Stream>,
-    client: DiscoveryClient,
-    buffer: [u8; READ_BUFFER_BYTES],
+/// What a call requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum ListRequest {
+    /// The complete list.
+    Complete,
+    /// A watch, which returns the changes since this version and then each change.
+    Watch { from: u64 },
+}
+
+impl ListRequest {
+    fn path(self) -> String {
+        match self {
+            ListRequest::Complete => "/api/targets".to_owned(),
+            ListRequest::Watch { from } => format!("/api/targets?watch=1&from={from}"),
+        }
+    }
 }
 
-/// Runs an I/O operation with a timeout; `what` names the expected result in errors.
-async fn with_timeout<T>(
-    runtime: &Shared,
-    what: &'static str,
-    within: Micros,
-    operation: impl Future<Output = std::io::Result<T>>,
-) -> Result<T, DiscoveryError> {
-    let timeout = async {
-        runtime.sleep_until(runtime.now() + within).await;
-        Err(DiscoveryError::Timeout { what, within })
-    };
-    let done = async { operation.await.map_err(|error| DiscoveryError::Io { what, error }) };
-    future::or(done, timeout).await
+impl fmt::Display for ListRequest {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(match self {
+            ListRequest::Complete => "complete list",
+            ListRequest::Watch { .. } => "watch",
+        })
+    }
 }
 
-impl<'a> DiscoveryCall<'a> {
-    /// Connects to `address` and requests the endpoint list. `query` is the query string, with its question mark, or empty.
-    pub(super) async fn start(
-        runtime: &'a Shared,
+/// How far a call has got.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum CallPhase {
+    /// The connection is not established, or the request is not sent completely.
+    Connecting,
+    /// The request was sent, and nothing has been received.
+    AwaitingAnswer,
+    /// The answer has begun, and no part of the next list has been received.
+    AwaitingList,
+    /// A part of the next list has been received.
+    ReadingList,
+}
+
+impl fmt::Display for CallPhase {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(match self {
+            CallPhase::Connecting => "connecting",
+            CallPhase::AwaitingAnswer => "awaiting the answer",
+            CallPhase::AwaitingList => "awaiting a list",
+            CallPhase::ReadingList => "reading a list",
+        })
+    }
+}
+
+/// A call that failed, for the log.
+#[derive(Debug)]
+pub(super) struct FailedCall {
+    pub(super) request: ListRequest,
+    /// How far the call got.
+    pub(super) phase: CallPhase,
+    /// Time from its start to its end.
+    pub(super) age: Micros,
+    pub(super) error: DiscoveryError,
+}
+
+/// The longest times without progress after which a call fails.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct CallTimeouts {
+    /// For the connection and the request.
+    pub(super) connect: Micros,
+    /// Without any data between two lists, or before the first.
+    pub(super) silence: Micros,
+    /// For a list of which a part has been received. It has a timeout of its own, as discovery may truncate a list and still
+    /// send empty lines.
+    pub(super) partial_list: Micros,
+}
+
+enum Connection {
+    Opening(BoxFuture<'static, std::io::Result<Box<dyn Stream>>>),
+    Open(Box<dyn Stream>),
+}
+
+/// A request to discovery on its own connection. Dropping it closes the connection.
+pub(super) struct DiscoveryCall {
+    runtime: Shared,
+    request: ListRequest,
+    started_at: Micros,
+    connection: Connection,
+    client: DiscoveryClient,
+    /// Whether any byte of the answer has been received.
+    has_answered: bool,
+    /// When the call last made progress: it began, the request was sent, or data arrived.
+    last_progress_at: Micros,
+    /// When the first part of the next list was received.
+    partial_since: Option<Micros>,
+    alarm: Alarm,
+}
+
+impl DiscoveryCall {
+    /// Makes `request` to `address`. The connection is established when the call is polled.
+    pub(super) fn start(
+        runtime: &Shared,
         address: SocketAddr,
-        query: &str,
-        timeout: Micros,
-    ) -> Result<DiscoveryCall<'a>, DiscoveryError> {
-        let started_at = runtime.now();
-        let (client, request) = DiscoveryClient::get(address, &format!("/api/targets{query}"))?;
-        let connect = async {
-            let mut stream = runtime.connect(address).await?;
-            stream.write_all(&request).await?;
+        request: ListRequest,
+    ) -> Result<DiscoveryCall, FailedCall> {
+        let get = DiscoveryClient::get(address, &request.path());
+        let (client, request_bytes) = get.map_err(|error| FailedCall {
+            request,
+            phase: CallPhase::Connecting,
+            age: 0,
+            error: error.into(),
+        })?;
+        let connect = runtime.connect(address);
+        let opening = async move {
+            let mut stream = connect.await?;
+            stream.write_all(&request_bytes).await?;
             Ok(stream)
         };
-        let stream = with_timeout(runtime, "connection", timeout, connect).await?;
-        Ok(DiscoveryCall { runtime, timeout, started_at, stream, client, buffer: [0; READ_BUFFER_BYTES] })
+        let now = runtime.now();
+        Ok(DiscoveryCall {
+            runtime: runtime.clone(),
+            request,
+            started_at: now,
+            connection: Connection::Opening(Box::pin(opening)),
+            client,
+            has_answered: false,
+            last_progress_at: now,
+            partial_since: None,
+            alarm: Alarm::new(runtime.clone()),
+        })
     }
 
-    /// Reads the complete list, within the call's timeout counted from its start.
-    pub(super) async fn complete_list(mut self) -> Result<EndpointList, DiscoveryError> {
-        let runtime = self.runtime;
-        let within = self.timeout;
-        let give_up_at = self.started_at + within;
-        let timeout = async {
-            runtime.sleep_until(give_up_at).await;
-            None
-        };
-        let list = async { Some(self.next_list(within).await) };
-        if let Some(list) = future::or(list, timeout).await {
-            return list;
-        }
-        if self.client.has_partial_value() {
-            return Err(DiscoveryError::SlowList { within });
+    /// Reports that the call ended with `error`.
+    pub(super) fn failed(&self, error: DiscoveryError) -> FailedCall {
+        let age = self.runtime.now().saturating_sub(self.started_at);
+        FailedCall { request: self.request, phase: self.phase(), age, error }
+    }
+
+    /// Returns how far the call has got.
+    pub(super) fn phase(&self) -> CallPhase {
+        match self.connection {
+            Connection::Opening(_) => CallPhase::Connecting,
+            Connection::Open(_) if !self.has_answered => CallPhase::AwaitingAnswer,
+            Connection::Open(_) if !self.client.has_partial_value() => CallPhase::AwaitingList,
+            Connection::Open(_) => CallPhase::ReadingList,
         }
-        Err(DiscoveryError::Timeout { what: "list", within })
     }
 
-    /// Reads the next list. Fails if no bytes arrive for `max_silence` between lists.
-    pub(super) async fn next_list(&mut self, max_silence: Micros) -> Result<EndpointList, DiscoveryError> {
-        let mut partial_since = None;
+    /// Reads the complete list, within `timeout` from the start of the call.
+    pub(super) async fn complete_list(&mut self, timeout: Micros) -> Result<EndpointList, DiscoveryError> {
+        poll_fn(|cx| {
+            if let Poll::Ready(list) = self.poll_list(cx) {
+                return Poll::Ready(list);
+            }
+            ready!(self.alarm.poll(Some(self.started_at + timeout), cx));
+            Poll::Ready(Err(DiscoveryError::Timeout { phase: self.phase(), within: timeout }))
+        })
+        .await
+    }
+
+    /// Reads the next list. Fails if there is no progress within `timeouts`.
+    pub(super) async fn next_list(&mut self, timeouts: CallTimeouts) -> Result<EndpointList, DiscoveryError> {
+        poll_fn(|cx| {
+            if let Poll::Ready(list) = self.poll_list(cx) {
+                return Poll::Ready(list);
+            }
+            let phase = self.phase();
+            let (since, within) = match phase {
+                CallPhase::Connecting => (self.started_at, timeouts.connect),
+                CallPhase::AwaitingAnswer | CallPhase::AwaitingList => {
+                    (self.last_progress_at, timeouts.silence)
+                }
+                CallPhase::ReadingList => {
+                    (self.partial_since.unwrap_or(self.last_progress_at), timeouts.partial_list)
+                }
+            };
+            ready!(self.alarm.poll(Some(since + within), cx));
+            Poll::Ready(Err(DiscoveryError::Timeout { phase, within }))
+        })
+        .await
+    }
+
+    /// Ready with the next list, or with the reason why there will be none.
+    pub(super) fn poll_list(&mut self, cx: &mut Context<'_>) -> Poll<Result<EndpointList, DiscoveryError>> {
         loop {
             if let Some(list) = self.client.next_value()? {
-                return Ok(list);
+                self.partial_since = None;
+                return Poll::Ready(Ok(list));
             }
             if self.client.is_ended() {
-                return Err(DiscoveryError::ConnectionEnded);
+                return Poll::Ready(Err(DiscoveryError::ConnectionEnded));
             }
-            // A list of which a part has arrived has its own deadline: discovery may truncate it and still send empty lines.
-            let within = if self.client.has_partial_value() {
-                let now = self.runtime.now();
-                (*partial_since.get_or_insert(now) + self.timeout).saturating_sub(now)
-            } else {
-                max_silence
+            self.partial_since = match self.client.has_partial_value() {
+                true => self.partial_since.or(Some(self.last_progress_at)),
+                false => None,
             };
-            let read = self.stream.read(&mut self.buffer);
-            let count = with_timeout(self.runtime, "data from discovery", within, read).await?;
-            if count == 0 {
-                return Err(DiscoveryError::ConnectionEnded);
+            ready!(self.poll_receive(cx))?;
+        }
+    }
+
+    /// Receives some data, on the connection that is established first if necessary.
+    fn poll_receive(&mut self, cx: &mut Context<'_>) -> Poll<Result<(), DiscoveryError>> {
+        let phase = self.phase();
+        let io_error = |error| DiscoveryError::Io { phase, error };
+        let stream = match &mut self.connection {
+            Connection::Open(stream) => stream,
+            Connection::Opening(opening) => {
+                let stream = ready!(opening.as_mut().poll(cx)).map_err(io_error)?;
+                self.connection = Connection::Open(stream);
+                self.last_progress_at = self.runtime.now();
+                return Poll::Ready(Ok(()));
             }
-            self.client.receive(&self.buffer[..count]).map_err(|error| self.response_error(error))?;
+        };
+        let mut buffer = [0; READ_BUFFER_BYTES];
+        let count = ready!(Pin::new(stream).poll_read(cx, &mut buffer)).map_err(io_error)?;
+        if count == 0 {
+            return Poll::Ready(Err(DiscoveryError::ConnectionEnded));
         }
+        self.has_answered = true;
+        self.last_progress_at = self.runtime.now();
+        let received = self.client.receive(&buffer[..count]);
+        Poll::Ready(received.map_err(|error| self.response_error(error)))
     }
 
     /// Adds the time since the request to an error status.
--- a/crates/platform/src/discovery/error.rs
+++ b/crates/platform/src/discovery/error.rs
@@ -1,5 +1,6 @@
 //! Errors of requests to discovery.
 
+use super::call::CallPhase;
 use crate::discovery_client::ResponseError;
 use crate::endpoint_set::RejectedList;
 use chalkgap_runtime::Micros;
@@ -7,13 +8,11 @@
 /// Why a request to discovery failed. The current list stays in effect.
 #[derive(Debug, thiserror::Error)]
 pub(super) enum DiscoveryError {
-    #[error("no {what} within {} ms", .within / 1000)]
-    Timeout { what: &'static str, within: Micros },
-    /// Only a part of the list arrived before the timeout.
-    #[error("only part of the list arrived within {} ms", .within / 1000)]
-    SlowList { within: Micros },
-    #[error("{what}: {error}")]
-    Io { what: &'static str, error: std::io::Error },
+    /// Nothing that the call waited for arrived for this time.
+    #[error("no progress for {} ms while {phase}", .within / 1000)]
+    Timeout { phase: CallPhase, within: Micros },
+    #[error("{phase}: {error}")]
+    Io { phase: CallPhase, error: std::io::Error },
     /// Discovery answered with an error status, `waited` microseconds after the request.
     #[error("{error}; after {} ms", .waited / 1000)]
     ErrorStatus { error: ResponseError, waited: Micros },
--- a/crates/platform/src/discovery/mod.rs
+++ b/crates/platform/src/discovery/mod.rs
@@ -17,7 +17,7 @@
 use crate::request::ForwardedCommand;
 use async_channel::{Receiver, Sender};
 use backoff::{Backoff, FirstRequest};
-use call::DiscoveryCall;
+use call::{CallTimeouts, DiscoveryCall, FailedCall, ListRequest};
 use chalkgap::frontend::DriverEvent;
 use chalkgap_runtime::{Micros, Shared};
 use error::DiscoveryError;
@@ -83,12 +83,13 @@
     /// Follows discovery until an error occurs, then waits for the backoff.
     async fn attempt(&mut self, backoff: &mut Backoff, list_applied: &mut bool) {
         let call_timeout = backoff.call_timeout();
-        let result = self.follow_lists(call_timeout, backoff.first_request(), list_applied).await;
-        let Err(error) = result;
+        let Err(failed) = self.follow_lists(call_timeout, backoff.first_request(), list_applied).await;
+        let FailedCall { request, phase, age, error } = failed;
+        let age_ms = age / 1000;
         if backoff.record_failure(&error, self.endpoints.has_list()) {
-            tracing::warn!(discovery = %self.address, %error, "discovery unavailable, keeping the last endpoint list");
+            tracing::warn!(discovery = %self.address, %request, %phase, age_ms, %error, "discovery unavailable, keeping the last endpoint list");
         } else {
-            tracing::debug!(discovery = %self.address, %error, "discovery still unavailable");
+            tracing::debug!(discovery = %self.address, %request, %phase, age_ms, %error, "discovery still unavailable");
         }
         let delay = backoff.next_delay(&error);
         // Jitter over half of the delay, so that ingresses that lost discovery at the same time do not all retry together.
@@ -102,23 +103,34 @@
         call_timeout: Micros,
         first_request: FirstRequest,
         list_applied: &mut bool,
-    ) -> Result<Infallible, DiscoveryError> {
+    ) -> Result<Infallible, FailedCall> {
         let runtime = self.runtime.clone();
         if first_request == FirstRequest::CompleteList {
-            let call = DiscoveryCall::start(&runtime, self.address, "", call_timeout).await?;
-            let list = call.complete_list().await?;
-            self.apply(&list).await?;
+            let mut call = DiscoveryCall::start(&runtime, self.address, ListRequest::Complete)?;
+            let list = call.complete_list(call_timeout).await;
+            let applied = self.apply_result(list).await;
+            applied.map_err(|error| call.failed(error))?;
             *list_applied = true;
         }
-        let query = format!("?watch=1&from={}", self.endpoints.version());
-        let mut watch = DiscoveryCall::start(&runtime, self.address, &query, call_timeout).await?;
+        let request = ListRequest::Watch { from: self.endpoints.version() };
+        let mut watch = DiscoveryCall::start(&runtime, self.address, request)?;
+        let timeouts =
+            CallTimeouts { connect: call_timeout, silence: WATCH_SILENCE_MICROS, partial_list: call_timeout };
         loop {
-            let list = watch.next_list(WATCH_SILENCE_MICROS).await?;
-            self.apply(&list).await?;
+            let list = watch.next_list(timeouts).await;
+            let applied = self.apply_result(list).await;
+            applied.map_err(|error| watch.failed(error))?;
             *list_applied = true;
         }
     }
 
+    async fn apply_result(
+        &mut self,
+        list: Result<EndpointList, DiscoveryError>,
+    ) -> Result<(), DiscoveryError> {
+        self.apply(&list?).await
+    }
+
     async fn apply(&mut self, list: &EndpointList) -> Result<(), DiscoveryError> {
         let EndpointChange { update, endpoints } = self.endpoints.apply(self.runtime.now(), list)?;
         let count = endpoints.len();
