Platform: SIGHUP without a new address leaves discovery's calls as they are

What callers saw: with configurations in quick succession, SIGHUP more often than discovery answers, no list arrived, and drains were not noticed.

Cause: each SIGHUP cancelled the call or watch in progress, also when the file named the same address; the call was made again from its beginning. Change: an address that is followed already changes nothing.

--- a/crates/platform/src/discovery/mod.rs
+++ b/crates/platform/src/discovery/mod.rs
@@ -61,7 +61,7 @@
     pub async fn run(mut self, new_addresses: Receiver<SocketAddr>) {
         let mut backoff = Backoff::new(self.timeouts, self.endpoints.has_list());
         loop {
-            let next_address = async { new_addresses.recv().await.ok() };
+            let next_address = next_address(&new_addresses, self.address);
             let followed = async {
                 let Err(Stopped) = self.follow(&mut backoff).await;
                 None
@@ -146,6 +146,17 @@
 /// The ingress has stopped.
 struct Stopped;
 
+/// Waits for an address other than `current`. Returns `None` when the ingress stops.
+async fn next_address(new_addresses: &Receiver<SocketAddr>, current: SocketAddr) -> Option<SocketAddr> {
+    loop {
+        // The same address again must not cancel the calls in progress: if it came often, none would ever be answered.
+        match new_addresses.recv().await {
+            Ok(address) if address == current => {}
+            changed => return changed.ok(),
+        }
+    }
+}
+
 /// Adds jitter over half of `delay`, so that ingresses that lost discovery at the same time do not all call it together.
 fn jittered(runtime: &Shared, delay: Micros) -> Micros {
     delay / 2 + runtime.random() % (delay / 2)
--- a/crates/platform/tests/slow_discovery.rs
+++ b/crates/platform/tests/slow_discovery.rs
@@ -171,6 +171,30 @@
     }
 }
 
+/// A new address is followed although discovery there is slow, also if the configuration is read again all the time. Before,
+/// each time cancelled the call in progress.
+#[test]
+fn a_new_address_of_a_slow_discovery_is_followed_however_often_it_is_read() {
+    const ADDRESS_CHANGE_NOTIFICATION: Micros = 4_000_000;
+    for (grace, delay) in GRACES.into_iter().flat_map(|grace| DELAYS.map(|delay| (grace, delay))) {
+        let timeouts = DiscoveryTimeouts::new(grace, Discovery::Push);
+        let elapsed = run_slow(2, timeouts, delay, move |fixture| async move {
+            fixture.sleep(START_TIME).await;
+            fixture.agents[1].0.lock().version = 2;
+            let (changes, address, runtime) =
+                (fixture.address_changes.clone(), fixture.agents[1].1, fixture.runtime.clone());
+            let reload = async move {
+                while changes.send(address).await.is_ok() {
+                    runtime.sleep_until(runtime.now() + 250_000).await;
+                }
+            };
+            let _reloads = fixture.runtime.spawn(Box::pin(reload));
+            fixture.wait_for_version(2).await
+        });
+        assert!(elapsed <= ADDRESS_CHANGE_NOTIFICATION, "grace {grace}, {delay:?}: {elapsed} us");
+    }
+}
+
 /// A polled service may let a request wait in its queue and answer late in addition. Before, each request was given up after 2 or
 /// 2.6 s and made again: no list ever arrived.
 #[test]
