Serve: calls wait for a node or an ingress that is slow, and give up one that is down

What an operator saw: a node that takes over 2 s to answer usage lookups was never heard; its requests were presumed not to have run and were not billed. A group's ingress that takes over 5 s for its answer was never replicated from.

A server that is down is given up as soon as before. The export to a consumer keeps the operator's timeout (patience_ms) as it is.

--- a/crates/gateway/src/ledger/export.rs
+++ b/crates/gateway/src/ledger/export.rs
@@ -7,7 +7,7 @@
 use chalkgap_ledger::entry::{Batch, EntryBody};
 use chalkgap_ledger::export::{Config, ConsumerReply, ExportBlocked, ExportStep, Exporter};
 use chalkgap_runtime::Micros;
-use chalkgap_transport::unary;
+use chalkgap_transport::unary::{self, CallTimeouts};
 use chalkgap_wire::billing::{HandRequest, HandResponse, HAND};
 use chalkgap_wire::grpc;
 use prost::Message;
@@ -116,14 +116,15 @@
 
     async fn call_consumer(&self, address: SocketAddr, batch: &Batch) -> ConsumerReply {
         let runtime = &self.ledger.runtime;
-        let until = runtime.now() + self.settings.patience_ms * 1000;
+        let patience = self.settings.patience_ms * 1000;
+        let timeouts = CallTimeouts { silence: patience, total: patience };
         let message = HandRequest {
             stream: batch.stream.clone(),
             number: batch.number,
             batch: batch.encode_to_vec().into(),
         };
         let message = grpc::frame(&message);
-        let response = unary::call(runtime, address, HAND, message, MAX_BATCH_BYTES as usize, until).await;
+        let response = unary::call(runtime, address, HAND, message, MAX_BATCH_BYTES as usize, timeouts).await;
         let handed = response.ok().and_then(|message| HandResponse::decode(message).ok());
         handed.map_or(ConsumerReply::None, |handed| reply_of(batch, &handed))
     }
--- a/crates/gateway/src/ledger/replication/client.rs
+++ b/crates/gateway/src/ledger/replication/client.rs
@@ -8,16 +8,15 @@
 use chalkgap_ledger::entry::{self, Entry, EntryError};
 use chalkgap_ledger::reconcile::{Config, NextAction, PeerError, PeerRequest, Reconciler};
 use chalkgap_ledger::IncarnationId;
-use chalkgap_runtime::Micros;
-use chalkgap_transport::unary;
+use chalkgap_transport::unary::{self, CallTimeouts};
 use chalkgap_wire::fleet::{Entries, Ranges, FETCH, HAVE};
 use chalkgap_wire::grpc;
 use prost::Message;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-/// Timeout of a call.
-const CALL_TIMEOUT_MICROS: Micros = 5_000_000;
+/// A peer that is down is called again after 5 s; one that is alive may take longer for its answer.
+const CALL_TIMEOUTS: CallTimeouts = CallTimeouts { silence: 5_000_000, total: 30_000_000 };
 /// Maximum number of bytes that authentication adds to an answer.
 const AUTHENTICATION_BYTES: usize = 65_536;
 
@@ -93,9 +92,8 @@
         let nonce = runtime.random();
         let question = self.authenticator.seal(path, Direction::Question, self.peer, nonce, body.into());
         let question = grpc::frame(&question);
-        let until = runtime.now() + CALL_TIMEOUT_MICROS;
         let max_bytes = MAX_ANSWER_BYTES + AUTHENTICATION_BYTES;
-        let answer = unary::call(runtime, self.address, path, question, max_bytes, until).await;
+        let answer = unary::call(runtime, self.address, path, question, max_bytes, CALL_TIMEOUTS).await;
         let opened = answer.ok().and_then(|answer| self.authenticator.open(path, Direction::Answer, answer));
         let answer = opened
             .filter(|answer| answer.nonce == nonce && answer.from == u32::from(self.peer))
--- a/crates/gateway/tests/ledger/main.rs
+++ b/crates/gateway/tests/ledger/main.rs
@@ -402,6 +402,32 @@
     });
 }
 
+/// A node that answers each lookup later than a node that is down would be given up is still heard. Before, its answers never
+/// arrived: the requests were presumed not to have run, and were not billed.
+#[test]
+fn a_node_that_answers_lookups_slowly_is_heard() {
+    run(|system| async move {
+        let folder = Directory::new();
+        let batch_store = BatchStore::default();
+        let consumer = Consumer::start(system.clone(), free_address(), batch_store.clone(), 1).unwrap();
+        let mut settings = settings();
+        settings.ledger = Some(ledger_settings(&folder, "0", Some(ExportTo::Grpc(consumer.address()))));
+        let fixture = Fixture::start(system, settings, vec![Machine::default()]).await;
+        let slow = Faults { halfway: 1.0, lookup_delay: 2_300_000, ..Faults::default() };
+        fixture.nodes[0].set_faults(slow);
+        assert!(matches!(
+            fixture.client.call(&client_request(1, "big", "referral")).await.answer,
+            Answer::Failed { .. }
+        ));
+        eventually(&fixture.runtime, "the request is billed", || {
+            let executed = units_executed(&fixture.execution_logs);
+            !executed.is_empty() && units_billed(&batch_store) == executed
+        })
+        .await;
+        assert_eq!(fixture.ingress.counts().ledger_presumed, 0);
+    });
+}
+
 /// A snapshot replaces old segments. After a restart the totals are the same: no entry is billed twice, and new entries are
 /// appended.
 #[test]
--- a/crates/testbed/src/node/faults.rs
+++ b/crates/testbed/src/node/faults.rs
@@ -1,5 +1,7 @@
 //! Fault injection for a node.
 
+use chalkgap_runtime::Micros;
+
 /// The faults of a node. Shares are of attempts, from 0 to 1.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Faults {
@@ -19,6 +21,8 @@
     pub slow: f64,
     /// Usage lookups are answered with "unknown".
     pub forgets: bool,
+    /// Time until usage lookups are answered, in microseconds. Pings are answered meanwhile.
+    pub lookup_delay: Micros,
     /// Share of attempts whose work is multiplied by `tail_cost`.
     pub tail: f64,
     /// Factor on the work of the attempts that `tail` selects; values below 1 count as 1.
--- a/crates/testbed/src/node/server.rs
+++ b/crates/testbed/src/node/server.rs
@@ -280,14 +280,27 @@
         let Some(IncomingCall { fields, .. }) = self.incoming.remove(&stream) else { return };
         if fields.iter().any(|field| field.name == ":path" && field.value == truth::ASK) {
             if let Ok(question) = Question::decode(message) {
-                let answer = self.context.look_up(&question);
-                self.respond(stream, Response::UsageLookup(answer));
+                self.look_up(stream, &question);
             }
         } else if let Ok(work) = Work::decode(message) {
             self.receive_attempt(stream, Attempt::new(&fields, &work));
         }
     }
 
+    fn look_up(&mut self, stream: u32, question: &Question) {
+        let response = Response::UsageLookup(self.context.look_up(question));
+        let delay = lock(&self.context.engine).faults.lookup_delay;
+        if delay == 0 {
+            return self.respond(stream, response);
+        }
+        let runtime = self.context.runtime.clone();
+        let finished = self.finished.clone();
+        spawn(&self.context, async move {
+            runtime.sleep_until(runtime.now() + delay).await;
+            let _ = finished.send(Finished { stream, response }).await; // fails only if the connection is closed
+        });
+    }
+
     fn receive_attempt(&mut self, stream: u32, attempt: Attempt) {
         let now = self.context.runtime.now();
         match self.context.receive(&attempt, now) {
--- a/crates/transport/src/unary/client.rs
+++ b/crates/transport/src/unary/client.rs
@@ -16,17 +16,58 @@
 /// Maximum flow-control window of HTTP/2 (RFC 9113, section 6.9.1).
 const MAX_WINDOW_BYTES: u32 = u32::MAX >> 1;
 
+/// The longest times of a call. A server that is slow answers pings meanwhile; one that is down answers nothing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CallTimeouts {
+    /// Maximum time for connecting, and then without any data, in microseconds. The server is pinged after half of it.
+    pub silence: Micros,
+    /// Maximum duration of the call, in microseconds.
+    pub total: Micros,
+}
+
+/// How long a server has been silent.
+struct Silence {
+    timeouts: CallTimeouts,
+    started_at: Micros,
+    /// When data arrived last; at first the start of the call.
+    last_data_at: Micros,
+    /// Whether the server has been pinged since then.
+    ping_sent: bool,
+}
+
+impl Silence {
+    /// Returns when to ping the server or to give up. A server is pinged only during a call.
+    fn next_check_at(&self, call_opened: bool) -> Micros {
+        match call_opened && !self.ping_sent {
+            true => (self.last_data_at + self.timeouts.silence / 2).min(self.ends_at()),
+            false => self.ends_at(),
+        }
+    }
+
+    fn ends_at(&self) -> Micros {
+        (self.last_data_at + self.timeouts.silence).min(self.started_at + self.timeouts.total)
+    }
+
+    fn is_over(&self, now: Micros) -> bool {
+        now >= self.ends_at()
+    }
+
+    fn data_received(&mut self, now: Micros) {
+        self.last_data_at = now;
+        self.ping_sent = false;
+    }
+}
+
 /// Makes one call on a new connection. The request `message` must already have its gRPC prefix; the response is returned
 /// without its prefix.
 ///
-/// `max_response` is the maximum length of the response in bytes. `deadline` is a time of the runtime's clock in
-/// microseconds.
+/// `max_response` is the maximum length of the response in bytes.
 ///
 /// # Errors
 /// Returns the status that the server sent, if it is not OK. Returns
-/// - UNAVAILABLE if the connection cannot be established by the deadline, fails or is closed, if the server violates
-///   HTTP/2, or if the call is reset;
-/// - DEADLINE_EXCEEDED if the status has not arrived on the established connection by the deadline;
+/// - UNAVAILABLE if the connection cannot be established in time, fails or is closed, if the server violates HTTP/2, or if
+///   the call is reset;
+/// - DEADLINE_EXCEEDED if the status has not arrived within `timeouts` on the established connection;
 /// - INTERNAL if the server sent OK without a response;
 /// - UNKNOWN if the response ends without trailers;
 /// - the status of [`Deframer::message`] if the response cannot be unframed or is too long.
@@ -36,22 +77,29 @@
     path: &str,
     message: Bytes,
     max_response: usize,
-    deadline: Micros,
+    timeouts: CallTimeouts,
 ) -> Result<Bytes, Status> {
-    let stream = connect(runtime, to, deadline).await?;
+    let started_at = runtime.now();
+    let stream = connect(runtime, to, started_at + timeouts.silence).await?;
     let (_commands, no_commands) = async_channel::bounded::<()>(1);
     let (_signal_sender, no_signal) = async_channel::bounded(1);
     let connection = Connection::client(config(max_response));
     let mut pipe = Pipe::new(runtime.clone(), stream, connection, no_commands, no_signal);
     let mut call = PendingCall { opened: false, body: Deframer::new(max_response), response: None };
+    let mut silence = Silence { timeouts, started_at, last_data_at: started_at, ping_sent: false };
     loop {
-        match pipe.turn(Some(deadline), true).await {
-            Turn::Time => {
+        match pipe.turn(Some(silence.next_check_at(call.opened)), true).await {
+            Turn::Time if silence.is_over(runtime.now()) => {
                 return Err(Status::new(Code::DeadlineExceeded, "the call has not ended by its deadline"))
             }
+            Turn::Time => {
+                pipe.conn.ping();
+                silence.ping_sent = true;
+            }
             Turn::ProtocolError(error) => return Err(unavailable(error.to_string())),
             Turn::Closed | Turn::Signal => return Err(unavailable("the connection was closed")),
-            Turn::Read | Turn::Command(()) => {}
+            Turn::Read => silence.data_received(runtime.now()),
+            Turn::Command(()) => {}
         }
         while let Some(event) = pipe.conn.event() {
             if let Some(status) = call.handle(&mut pipe.conn, event)? {
--- a/crates/transport/src/unary/mod.rs
+++ b/crates/transport/src/unary/mod.rs
@@ -6,7 +6,7 @@
 
 use chalkgap_runtime::Micros;
 
-pub use client::call;
+pub use client::{call, CallTimeouts};
 pub use server::{serve, Handler, Limits};
 
 /// Maximum time for a peer to close a connection after the last message on it.
