Serve: a registry that is slow to accept a call is followed

What an operator saw: a registry whose SETTINGS arrived later than 5 s after the connection gave no list for ever; each call was given up and made again.

Cause: a fixed time, and the same again, as of the slow discovery. Change: after a call that was not answered in time the next one waits 10 s, and no backoff follows it: it takes as long as one of 5 s with the longest backoff, so that calls get no denser, and the end of an outage is noticed as soon.

Evidence, on virtual time: a_slow_registry_is_followed (answers up to 9 s late) failed before at 6 s, no list in 60 s; up to 4 s it held, also before, so delays to 1.9 s were not affected. a_registry_that_was_down_is_followed_soon (20 outages of 60 to 86 s in which connections hang, bound 10.2 s) passes before and now.

--- a/crates/gateway/src/discovery/service.rs
+++ b/crates/gateway/src/discovery/service.rs
@@ -20,10 +20,12 @@
 const MIN_BACKOFF: Micros = 50_000;
 /// Maximum backoff between two calls, in microseconds.
 const MAX_BACKOFF: Micros = 5_000_000;
-/// Maximum time for connecting, in microseconds.
-const CONNECT_TIMEOUT: Micros = 5_000_000;
-/// Time without data after which the connection is pinged, and after the same time again closed, in microseconds. Before
-/// the service's SETTINGS have arrived, the connection is closed without a ping.
+/// Maximum time for connecting, and again until the service's SETTINGS, in microseconds.
+const ANSWER_TIMEOUT: Micros = 5_000_000;
+/// Maximum time from the start of a call to the service's SETTINGS, if the call before was not answered in time. There is no
+/// backoff after such a call: it takes as long as a shorter one with the longest backoff.
+const LONG_ANSWER_TIMEOUT: Micros = ANSWER_TIMEOUT + MAX_BACKOFF;
+/// Time without data after which the connection is pinged, and after the same time again closed, in microseconds.
 const PING_AFTER: Micros = 5_000_000;
 
 /// Why a call to the discovery service ended.
@@ -42,8 +44,10 @@
     Reset(chalkgap_wire::http2::Code),
     #[error("service ended the call")]
     Ended,
-    /// No data arrived for [`PING_AFTER`], and none for the same time after a ping. A connection without the service's
-    /// SETTINGS is closed without a ping.
+    /// The connection was not established, or the service's SETTINGS did not arrive, within this time.
+    #[error("no answer from the service within {} ms", .0 / 1000)]
+    Unanswered(Micros),
+    /// No data arrived for [`PING_AFTER`], and none for the same time after a ping.
     #[error("timed out waiting for data from the service")]
     Silent,
     /// The connection was closed, or the instance is stopping.
@@ -65,9 +69,10 @@
     let mut backoff = MIN_BACKOFF;
     let mut logged = false;
     let mut watcher = Watcher { runtime: runtime.clone(), gateway, address, driver, alive, revision: 0 };
+    let mut previous_unanswered = false;
     loop {
         let revision_before = watcher.revision;
-        let Err(error) = watcher.call().await;
+        let Err(error) = watcher.call(previous_unanswered).await;
         if watcher.driver.is_closed() {
             return;
         }
@@ -81,10 +86,13 @@
             logged = true; // one log line for each outage
             tracing::warn!(roster = %address, %error, revision, "discovery call ended, keeping the last list");
         }
+        let unanswered = matches!(error, CallError::Unanswered(_));
+        let delay = if unanswered && previous_unanswered { MIN_BACKOFF } else { backoff };
         // Jitter spreads the reconnects of gateways that lost the service at the same time.
-        let jitter = runtime.random() % (backoff / 2);
-        runtime.sleep_until(runtime.now() + backoff / 2 + jitter).await;
+        let jitter = runtime.random() % (delay / 2);
+        runtime.sleep_until(runtime.now() + delay / 2 + jitter).await;
         backoff = (backoff * 2).min(MAX_BACKOFF);
+        previous_unanswered = unanswered;
     }
 }
 
@@ -100,24 +108,36 @@
 }
 
 impl Watcher {
-    /// Makes one call and reads lists until it ends.
-    async fn call(&mut self) -> Result<std::convert::Infallible, CallError> {
-        let stream = self.connect().await?;
+    /// Makes one call and reads lists until it ends. `wait_longer` gives the service more time for its first answer.
+    async fn call(&mut self, wait_longer: bool) -> Result<std::convert::Infallible, CallError> {
+        let started_at = self.runtime.now();
+        let connect_timeout = if wait_longer { LONG_ANSWER_TIMEOUT } else { ANSWER_TIMEOUT };
+        let stream = self.connect(connect_timeout).await?;
+        let settings_until = match wait_longer {
+            true => started_at + LONG_ANSWER_TIMEOUT,
+            false => self.runtime.now() + ANSWER_TIMEOUT,
+        };
         let (_commands, no_commands) = async_channel::bounded::<()>(1);
-        let config = Config { max_streams: 0, ..Config::default() };
-        let connection = Connection::client(config);
+        let connection = Connection::client(Config { max_streams: 0, ..Config::default() });
         let mut pipe = Pipe::new(self.runtime.clone(), stream, connection, no_commands, self.alive.clone());
         let mut call = None;
         let mut body = Deframer::new(MAX_LIST_BYTES as usize);
         let mut last_activity = self.runtime.now();
         let mut ping_sent = false;
         loop {
-            match pipe.turn(Some(last_activity + PING_AFTER), true).await {
+            let until = match pipe.conn.settings_received() {
+                true => last_activity + PING_AFTER,
+                false => settings_until,
+            };
+            match pipe.turn(Some(until), true).await {
                 Turn::Read => {
                     last_activity = self.runtime.now();
                     ping_sent = false;
                 }
-                Turn::Time if ping_sent || !pipe.conn.settings_received() => return Err(CallError::Silent),
+                Turn::Time if !pipe.conn.settings_received() => {
+                    return Err(CallError::Unanswered(self.runtime.now() - started_at))
+                }
+                Turn::Time if ping_sent => return Err(CallError::Silent),
                 Turn::Time => {
                     pipe.conn.ping();
                     last_activity = self.runtime.now();
@@ -150,13 +170,14 @@
         }
     }
 
-    async fn connect(&self) -> Result<Box<dyn Stream>, CallError> {
-        let deadline = self.runtime.now() + CONNECT_TIMEOUT;
+    async fn connect(&self, within: Micros) -> Result<Box<dyn Stream>, CallError> {
+        let deadline = self.runtime.now() + within;
         let timeout = async {
             self.runtime.sleep_until(deadline).await;
-            Err(std::io::ErrorKind::TimedOut.into())
+            Err(CallError::Unanswered(within))
         };
-        future::or(self.runtime.connect(self.address), timeout).await.map_err(CallError::Connect)
+        let connected = async { self.runtime.connect(self.address).await.map_err(CallError::Connect) };
+        future::or(connected, timeout).await
     }
 
     /// Opens the call's stream and returns its id.
