Fleet show: the answer to an earlier request counts

What an operator saw: `chalkgap fleet show` to a gateway whose answers took more than 0.4 s said "no answer", although the gateway had answered five times.

Cause: a request without an answer is repeated after 0.4 s with a new nonce, and an answer with an earlier nonce was dropped. Change: the nonces of all requests for a page are accepted, for the 2 s that the query takes anyway.

the_view_of_a_gateway_far_away_is_shown (round trips up to 1.9 s) failed before at 0.5 s.

--- a/crates/gateway/src/fleet/query.rs
+++ b/crates/gateway/src/fleet/query.rs
@@ -26,7 +26,7 @@
 
 /// Number of times that a page is requested before the query fails.
 const TRIES_PER_PAGE: u32 = 5;
-/// Time to wait for the answer to one request, in microseconds.
+/// Time after which a request without an answer is repeated, in microseconds. The answer to an earlier one still counts.
 const TRY_TIMEOUT: Micros = 400_000;
 /// Maximum number of pages. A view has at most 65,536 members; a page has at least one, and usually more than three.
 const MAX_PAGES: usize = 20_000;
@@ -91,8 +91,10 @@
 impl Query<'_> {
     /// Fetches one page of the view: the members with ids of at least `from`, as many as fit into one answer.
     async fn fetch_page(&mut self, from: MemberId) -> Result<(ViewSummary, Message), FetchError> {
+        let mut nonces = Vec::new();
         for _ in 0..TRIES_PER_PAGE {
             let nonce = self.runtime.random() as u32;
+            nonces.push(nonce);
             let request = Message::new(Kind::ViewRequest { from }, nonce, 0);
             let datagram = self.sealer.seal(ANY_MEMBER, &request.encode());
             // A send error is treated like a lost datagram: no answer arrives.
@@ -103,8 +105,8 @@
                 let Some(length) = self.receive(&mut buffer, deadline).await else { continue };
                 let Ok(opened) = self.opener.open(self.runtime.now(), &buffer[..length]) else { continue };
                 let Ok(message) = Message::decode(opened.message) else { continue };
-                if message.nonce != nonce {
-                    continue; // the answer to an earlier try
+                if !nonces.contains(&message.nonce) {
+                    continue; // the answer to a request for an earlier page
                 }
                 if let Kind::ViewPage(summary) = message.kind {
                     return Ok((summary, message));
--- a/crates/gateway/tests/slow_services.rs
+++ b/crates/gateway/tests/slow_services.rs
@@ -3,9 +3,11 @@
 
 mod common;
 
+use chalkgap::fleet::fetch_snapshot;
+use chalkgap::peers::Key;
 use chalkgap::runtime::simulated_runtime::{address, Cut, LinkFaults, Simulation, DEFAULT_LINK};
 use chalkgap::runtime::{Micros, Shared};
-use chalkgap::settings::{ListSource, Settings};
+use chalkgap::settings::{self, ListSource, Peers, Settings};
 use chalkgap::Instance;
 use chalkgap_testbed::journal::Journal;
 use chalkgap_testbed::registry::Registry;
@@ -15,6 +17,7 @@
 const SECOND: Micros = 1_000_000;
 const REGISTRY: u32 = 1;
 const GATEWAY: u32 = 2;
+const TOOL: u32 = 3;
 
 fn gateway_settings() -> Settings {
     let mut settings = common::settings();
@@ -90,3 +93,29 @@
         assert!(completed.is_some(), "the simulation did not complete");
     }
 }
+
+/// `chalkgap fleet show` accepts the answer to any of its requests, which it repeats after 0.4 s.
+#[test]
+fn the_view_of_a_gateway_far_away_is_shown() {
+    for round_trip in [0, SECOND * 3 / 10, SECOND / 2, SECOND, SECOND * 19 / 10] {
+        let simulation = Simulation::new(1, START);
+        let (gateway_host, _gateway_guard) = simulation.host(GATEWAY, 0);
+        let (tool_host, _tool_guard) = simulation.host(TOOL, 0);
+        delay_link(&simulation, GATEWAY, TOOL, round_trip / 2);
+        delay_link(&simulation, TOOL, GATEWAY, round_trip / 2);
+        let completed = simulation.run(async move {
+            let listen = SocketAddr::new(address(GATEWAY), 7946);
+            let key = "5a".repeat(32);
+            let value = serde_json::json!({"listen": listen, "key": key, "view": {"seeds": [listen]}});
+            let peers: Peers = settings::typed("test", "peers", value).unwrap();
+            let mut settings = gateway_settings();
+            settings.fleet.peers = Some(peers);
+            let _gateway = Instance::start(settings, gateway_host).await.unwrap();
+            let runtime: Shared = tool_host;
+            let key = Key::parse(&key).unwrap();
+            let snapshot = fetch_snapshot(&runtime, key, listen).await;
+            assert_eq!(snapshot.unwrap_or_else(|error| panic!("{round_trip} us: {error}")).member_count, 1);
+        });
+        assert!(completed.is_some(), "the simulation did not complete");
+    }
+}
