--- a/crates/platform/tests/discovery_faults.rs
+++ b/crates/platform/tests/discovery_faults.rs
@@ -114,6 +114,37 @@
     assert_applied_within_six_seconds(&fixture, &new_journal);
 }
 
+/// Every answer of discovery is whole, and 1.9 s late. The ingress still applies a new list within 6 s, and does not keep calling.
+/// Before, each call was given up after 0.75 s and made again for as long as the ingress ran.
+#[test]
+fn a_list_that_is_always_late_is_applied() {
+    let old_journal = Journal::default();
+    let new_journal = Journal::default();
+    let ports = [
+        backend(old_journal, |_, _| BackendAction::Reply(GOOD_REPLY)),
+        backend(new_journal.clone(), |_, _| BackendAction::Reply(GOOD_REPLY)),
+    ];
+    let calls = Arc::new(AtomicUsize::new(0));
+    let agent_calls = calls.clone();
+    let list = known(&ports[1..]).replace("\"seq\":1", "\"seq\":2");
+    let discovery_port = agent(list, move |_, watch, stream, list| {
+        agent_calls.fetch_add(1, Ordering::SeqCst);
+        std::thread::sleep(ms(1900));
+        if watch {
+            respond_to_watch(stream, list);
+        } else {
+            respond_with_list(stream, list);
+        }
+    });
+    let discovery = common::Discovery { port: discovery_port, ..common::Discovery::default() };
+    let fixture = Fixture::start_with_discovery(Journal::default(), discovery, &ports[..1], &[]);
+    assert_applied_within_six_seconds(&fixture, &new_journal);
+    let first_calls = calls.load(Ordering::SeqCst);
+    std::thread::sleep(ms(2500));
+    let further_calls = calls.load(Ordering::SeqCst) - first_calls;
+    assert!(further_calls <= 1, "{further_calls} calls after the list, for the watch only");
+}
+
 /// Sends queries until one reaches a backend that only the new list names.
 ///
 /// # Panics
