Readability: the registry's events in a function of their own, one fixture for changed lists

Watcher::call handled the connection and its events in 60 lines. discovery_faults.rs built the same two backends and lists in five tests. Checks are as they were; the tests of both files pass.

--- a/crates/gateway/src/discovery/service.rs
+++ b/crates/gateway/src/discovery/service.rs
@@ -148,21 +148,7 @@
                 Turn::Command(()) => {}
             }
             while let Some(event) = pipe.conn.event() {
-                match event {
-                    Event::Data { stream, data, end } if call == Some(stream) => {
-                        pipe.conn.consumed(stream, data.len());
-                        body.push(&data);
-                        self.pass_lists(&mut body).await?;
-                        if end {
-                            return Err(CallError::Ended);
-                        }
-                    }
-                    Event::Headers { end: true, fields, .. } => {
-                        return Err(CallError::Status(Status::from_fields(&fields)))
-                    }
-                    Event::Reset { code, .. } | Event::GoAway(code) => return Err(CallError::Reset(code)),
-                    _ => {}
-                }
+                self.handle(&mut pipe.conn, event, call, &mut body).await?;
             }
             if call.is_none() && pipe.conn.settings_received() && pipe.conn.can_open().is_ok() {
                 call = self.open_call(&mut pipe.conn);
@@ -170,6 +156,30 @@
         }
     }
 
+    /// Handles an event of the connection. `call` is the stream of the call, and `body` its partly received message.
+    async fn handle(
+        &mut self,
+        connection: &mut Connection,
+        event: Event,
+        call: Option<u32>,
+        body: &mut Deframer,
+    ) -> Result<(), CallError> {
+        match event {
+            Event::Data { stream, data, end } if call == Some(stream) => {
+                connection.consumed(stream, data.len());
+                body.push(&data);
+                self.pass_lists(body).await?;
+                if end {
+                    return Err(CallError::Ended);
+                }
+                Ok(())
+            }
+            Event::Headers { end: true, fields, .. } => Err(CallError::Status(Status::from_fields(&fields))),
+            Event::Reset { code, .. } | Event::GoAway(code) => Err(CallError::Reset(code)),
+            _ => Ok(()),
+        }
+    }
+
     async fn connect(&self, within: Micros) -> Result<Box<dyn Stream>, CallError> {
         let deadline = self.runtime.now() + within;
         let timeout = async {
--- a/crates/platform/src/discovery/hedged_request.rs
+++ b/crates/platform/src/discovery/hedged_request.rs
@@ -77,7 +77,8 @@
 
     fn record_late_call(&mut self, now: Micros) {
         if let Some(call) = self.calls.last() {
-            let (phase, age_ms) = (call.phase(), call.age() / 1000);
+            let phase = call.phase();
+            let age_ms = call.age() / 1000;
             tracing::debug!(discovery = %self.address, %phase, age_ms, "discovery has not answered yet, calling again");
         }
         self.backoff.record_late_call();
--- a/crates/platform/tests/discovery_faults.rs
+++ b/crates/platform/tests/discovery_faults.rs
@@ -31,6 +31,30 @@
     })
 }
 
+/// Two backends: the old list names the first one, the new list the second one.
+struct ListChange {
+    ports: [u16; 2],
+    /// Commands that the backend of the new list received.
+    new_journal: Journal,
+}
+
+impl ListChange {
+    fn new() -> ListChange {
+        let new_journal = Journal::default();
+        let ports = [Journal::default(), new_journal.clone()]
+            .map(|journal| backend(journal, |_, _| BackendAction::Reply(GOOD_REPLY)));
+        ListChange { ports, new_journal }
+    }
+
+    fn old_ports(&self) -> &[u16] {
+        &self.ports[..1]
+    }
+
+    fn new_list(&self) -> String {
+        known(&self.ports[1..]).replace("\"seq\":1", "\"seq\":2")
+    }
+}
+
 /// Responds with the complete list.
 fn respond_with_list(stream: &mut TcpStream, list: &str) {
     let _ = write!(stream, "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{list}", list.len());
@@ -70,18 +94,13 @@
 /// the new list within 6 s.
 #[test]
 fn a_change_is_applied_within_six_seconds_whatever_happens_to_requests() {
-    let old_journal = Journal::default();
-    let new_journal = Journal::default();
-    let ports = [
-        backend(old_journal, |_, _| BackendAction::Reply(GOOD_REPLY)),
-        backend(new_journal.clone(), |_, _| BackendAction::Reply(GOOD_REPLY)),
-    ];
+    let change = ListChange::new();
     let changed = Arc::new(AtomicBool::new(false));
-    let next_list = known(&ports[1..]).replace("\"seq\":1", "\"seq\":2");
+    let next_list = change.new_list();
     let calls = Arc::new(std::sync::Mutex::new(Vec::new()));
     let agent_changed = changed.clone();
     let agent_calls = calls.clone();
-    let discovery_port = agent(known(&ports[..1]), move |_, watch, stream, list| {
+    let discovery_port = agent(known(change.old_ports()), move |_, watch, stream, list| {
         let changed = agent_changed.load(Ordering::SeqCst);
         let calls_since_change = {
             let mut calls = agent_calls.lock().unwrap();
@@ -108,25 +127,20 @@
         }
     });
     let discovery = common::Discovery { port: discovery_port, ..common::Discovery::default() };
-    let fixture = Fixture::start_with_discovery(Journal::default(), discovery, &ports[..1], &[]);
+    let fixture = Fixture::start_with_discovery(Journal::default(), discovery, change.old_ports(), &[]);
     wait_until("a watch", || calls.lock().unwrap().iter().any(|call| call.1));
     changed.store(true, Ordering::SeqCst);
-    assert_applied_within_six_seconds(&fixture, &new_journal);
+    assert_applied_within_six_seconds(&fixture, &change.new_journal);
 }
 
 /// Every answer of discovery is whole, and 1.9 s late. The ingress still applies a new list within 6 s, and does not keep calling.
 /// Before, each call was given up after 0.75 s and made again for as long as the ingress ran.
 #[test]
 fn a_list_that_is_always_late_is_applied() {
-    let old_journal = Journal::default();
-    let new_journal = Journal::default();
-    let ports = [
-        backend(old_journal, |_, _| BackendAction::Reply(GOOD_REPLY)),
-        backend(new_journal.clone(), |_, _| BackendAction::Reply(GOOD_REPLY)),
-    ];
+    let change = ListChange::new();
     let calls = Arc::new(AtomicUsize::new(0));
     let agent_calls = calls.clone();
-    let list = known(&ports[1..]).replace("\"seq\":1", "\"seq\":2");
+    let list = change.new_list();
     let discovery_port = agent(list, move |_, watch, stream, list| {
         agent_calls.fetch_add(1, Ordering::SeqCst);
         std::thread::sleep(ms(1900));
@@ -137,8 +151,8 @@
         }
     });
     let discovery = common::Discovery { port: discovery_port, ..common::Discovery::default() };
-    let fixture = Fixture::start_with_discovery(Journal::default(), discovery, &ports[..1], &[]);
-    assert_applied_within_six_seconds(&fixture, &new_journal);
+    let fixture = Fixture::start_with_discovery(Journal::default(), discovery, change.old_ports(), &[]);
+    assert_applied_within_six_seconds(&fixture, &change.new_journal);
     let first_calls = calls.load(Ordering::SeqCst);
     std::thread::sleep(ms(2500));
     let further_calls = calls.load(Ordering::SeqCst) - first_calls;
@@ -176,17 +190,12 @@
 /// requests a second each, and no ingress got a change within half a minute.
 #[test]
 fn a_rejecting_service_is_retried_with_backoff() {
-    let old_journal = Journal::default();
-    let new_journal = Journal::default();
-    let ports = [
-        backend(old_journal, |_, _| BackendAction::Reply(GOOD_REPLY)),
-        backend(new_journal.clone(), |_, _| BackendAction::Reply(GOOD_REPLY)),
-    ];
+    let change = ListChange::new();
     let healthy = Arc::new(AtomicBool::new(false));
     let calls = Arc::new(AtomicUsize::new(0));
     let agent_healthy = healthy.clone();
     let agent_calls = calls.clone();
-    let list = known(&ports[1..]).replace("\"seq\":1", "\"seq\":2");
+    let list = change.new_list();
     let discovery_port = agent(list, move |_, _, stream, list| {
         agent_calls.fetch_add(1, Ordering::SeqCst);
         if agent_healthy.load(Ordering::SeqCst) {
@@ -197,12 +206,12 @@
     });
     let discovery = common::Discovery { port: discovery_port, ..common::Discovery::default() };
     let poll = ("\"membership_mode\":\"push\"", "\"membership_mode\":\"ask\"");
-    let fixture = Fixture::start_with_discovery(Journal::default(), discovery, &ports[..1], &[poll]);
+    let fixture = Fixture::start_with_discovery(Journal::default(), discovery, change.old_ports(), &[poll]);
     std::thread::sleep(ms(5000));
     let requests = calls.load(Ordering::SeqCst);
     assert!((2..=6).contains(&requests), "{requests} requests in five seconds");
     healthy.store(true, Ordering::SeqCst);
-    assert_applied_within_six_seconds(&fixture, &new_journal);
+    assert_applied_within_six_seconds(&fixture, &change.new_journal);
 }
 
 /// The ingress polls, and an outage ends just after it sent a request. During the outage, the service rejects a request after its
@@ -210,15 +219,10 @@
 /// applies the new list within 6 s. Observed when 276 ingresses returned together: eight of them retried after 2 to 4 s, twice.
 #[test]
 fn an_outage_that_ends_between_two_polls_is_noticed() {
-    let old_journal = Journal::default();
-    let new_journal = Journal::default();
-    let ports = [
-        backend(old_journal, |_, _| BackendAction::Reply(GOOD_REPLY)),
-        backend(new_journal.clone(), |_, _| BackendAction::Reply(GOOD_REPLY)),
-    ];
+    let change = ListChange::new();
     let calls = Arc::new(AtomicUsize::new(0));
     let agent_calls = calls.clone();
-    let list = known(&ports[1..]).replace("\"seq\":1", "\"seq\":2");
+    let list = change.new_list();
     let discovery_port =
         agent(list, move |_, _, stream, list| match agent_calls.fetch_add(1, Ordering::SeqCst) {
             0 | 1 => {
@@ -233,9 +237,9 @@
         });
     let discovery = common::Discovery { port: discovery_port, ..common::Discovery::default() };
     let poll = ("\"membership_mode\":\"push\"", "\"membership_mode\":\"ask\"");
-    let fixture = Fixture::start_with_discovery(Journal::default(), discovery, &ports[..1], &[poll]);
+    let fixture = Fixture::start_with_discovery(Journal::default(), discovery, change.old_ports(), &[poll]);
     wait_until("a second request", || calls.load(Ordering::SeqCst) == 2);
-    assert_applied_within_six_seconds(&fixture, &new_journal);
+    assert_applied_within_six_seconds(&fixture, &change.new_journal);
     assert_eq!(calls.load(Ordering::SeqCst), 4);
 }
 
@@ -243,12 +247,7 @@
 /// of its new list.
 #[test]
 fn idle_clients_do_not_block_discovery() {
-    let old_journal = Journal::default();
-    let new_journal = Journal::default();
-    let ports = [
-        backend(old_journal, |_, _| BackendAction::Reply(GOOD_REPLY)),
-        backend(new_journal.clone(), |_, _| BackendAction::Reply(GOOD_REPLY)),
-    ];
+    let change = ListChange::new();
     let reserved = TcpListener::bind("127.0.0.1:0").unwrap();
     let address: SocketAddr = reserved.local_addr().unwrap();
     drop(reserved); // discovery is down: its port is closed
@@ -256,15 +255,15 @@
     let fixture = Fixture::start_with_discovery(
         Journal::default(),
         discovery,
-        &ports[..1],
+        change.old_ports(),
         &[("\"sockets\":256", "\"sockets\":64")],
     );
     let idle: Vec<TcpStream> = (0..200).filter_map(|_| TcpStream::connect(fixture.address).ok()).collect();
     std::thread::sleep(ms(500));
-    let discovery_service = start_discovery_at(address, known(&ports[1..]).replace("\"seq\":1", "\"seq\":2"));
+    let discovery_service = start_discovery_at(address, change.new_list());
     let started = Instant::now();
     let mut id = 0;
-    while new_journal.lock().unwrap().is_empty() {
+    while change.new_journal.lock().unwrap().is_empty() {
         id += 1;
         let mut client = fixture.client();
         client.query(id, 2000);
--- a/crates/platform/tests/slow_discovery.rs
+++ b/crates/platform/tests/slow_discovery.rs
@@ -1,5 +1,5 @@
 //! A discovery that answers late, in the simulated runtime. Guards against an ingress that gives up each call after the same
-//! short time: no list ever arrives, and each ingress goes on calling.
+//! short time: no list ever arrives, and the calls never end.
 
 use chalkgap_core::Discovery;
 use chalkgap_platform::discovery::DiscoveryTimeouts;
--- a/crates/transport/src/unary/client.rs
+++ b/crates/transport/src/unary/client.rs
@@ -16,7 +16,7 @@
 /// Maximum flow-control window of HTTP/2 (RFC 9113, section 6.9.1).
 const MAX_WINDOW_BYTES: u32 = u32::MAX >> 1;
 
-/// The longest times of a call. A server that is slow answers pings meanwhile; one that is down answers nothing.
+/// The longest times of a call. A slow server answers pings during the call; one that is down answers nothing.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct CallTimeouts {
     /// Maximum time for connecting, and then without any data, in microseconds. The server is pinged after half of it.
