--- a/crates/platform/src/discovery/mod.rs
+++ b/crates/platform/src/discovery/mod.rs
@@ -1,8 +1,8 @@
 //! Follows discovery as long as the ingress runs: requests the complete list of endpoints, then watches for changes.
 //!
-//! With [`Discovery::Push`](chalkgap_core::Discovery::Push) every attempt begins with the complete list. That also covers
+//! With [`Discovery::Push`] every attempt begins with the complete list. That also covers
 //! changes missed between two watches, truncated lists and restarted version numbers. With
-//! [`Discovery::Poll`](chalkgap_core::Discovery::Poll) a watch from the version of the current list covers them in one
+//! [`Discovery::Poll`] a watch from the version of the current list covers them in one
 //! request.
 
 mod answer_times;
