--- a/review/standins-2/src/lib.rs
+++ b/review/standins-2/src/lib.rs
@@ -362,35 +362,74 @@
     changes: Vec<(u64, Vec<Host>)>,
 }
 
-/// The agent of discovery: answers at once; a watch gets each change at once and an empty line every 2 s.
+/// Discovery, behind one agent or more: an agent answers at once, and a watch gets each change at once and an empty line every
+/// 2 s.
 #[derive(Clone)]
 pub struct Discovery {
+    /// The address of the first agent.
     pub address: SocketAddr,
     told: Arc<(Mutex<Told>, Condvar)>,
     record: Record,
-    /// While set, the agent is silent.
-    pub silent: Arc<AtomicBool>,
+    /// Milliseconds after which each new call is answered.
+    pub slow_ms: Arc<AtomicU64>,
+    agents: Arc<Mutex<Vec<Agent>>>,
+}
+
+/// An address of discovery.
+struct Agent {
+    address: SocketAddr,
+    retired: Arc<AtomicBool>,
+    open: Arc<Mutex<Vec<TcpStream>>>,
 }
 
 impl Discovery {
     pub fn start(record: &Record, seq: u64, hosts: Vec<Host>) -> Discovery {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let discovery = Discovery {
-            address: listener.local_addr().unwrap(),
+        let mut discovery = Discovery {
+            address: SocketAddr::from(([127, 0, 0, 1], 0)),
             told: Arc::new((Mutex::new(Told { seq, hosts, changes: Vec::new() }), Condvar::new())),
             record: record.clone(),
-            silent: Arc::default(),
+            slow_ms: Arc::default(),
+            agents: Arc::default(),
         };
-        let agent = discovery.clone();
+        discovery.address = discovery.open();
+        discovery
+    }
+
+    /// Opens a further address of discovery.
+    pub fn open(&self) -> SocketAddr {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let agent = Agent { address, retired: Arc::default(), open: Arc::default() };
+        let (retired, open, discovery) = (agent.retired.clone(), agent.open.clone(), self.clone());
+        self.agents.lock().unwrap().push(agent);
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                let agent = agent.clone();
+                if retired.load(Ordering::Relaxed) {
+                    return; // takes no new connection
+                }
+                open.lock().unwrap().push(stream.try_clone().unwrap());
+                let discovery = discovery.clone();
                 thread::spawn(move || {
-                    let _ = agent.serve(stream);
+                    let _ = discovery.serve(stream);
                 });
             }
         });
-        discovery
+        address
+    }
+
+    /// The agent at this address takes no new connection, and closes the open ones after 1.5 s.
+    pub fn retire(&self, address: SocketAddr) {
+        let agents = self.agents.lock().unwrap();
+        let Some(agent) = agents.iter().find(|agent| agent.address == address) else { return };
+        agent.retired.store(true, Ordering::Relaxed);
+        let _ = TcpStream::connect(address); // wakes the listener, which is closed then
+        let open = agent.open.clone();
+        thread::spawn(move || {
+            sleep(1.5);
+            for stream in open.lock().unwrap().drain(..) {
+                let _ = stream.shutdown(Shutdown::Both);
+            }
+        });
     }
 
     pub fn list(&self) -> String {
@@ -420,11 +459,8 @@
         let mut reader = Reader::new(stream.try_clone()?);
         let request = reader.line()?;
         while !reader.line()?.is_empty() {}
-        if self.silent.load(Ordering::Relaxed) {
-            // Never answered: a call made while discovery is down.
-            thread::sleep(Duration::from_secs(300));
-            return Ok(());
-        }
+        self.record.line(format!("discovery is asked at {}: {request}", stream.local_addr()?));
+        thread::sleep(Duration::from_millis(self.slow_ms.load(Ordering::Relaxed)));
         let Some(from) = request.split("from=").nth(1).and_then(|rest| rest.split(' ').next()?.parse::<u64>().ok()) else {
             let list = self.list();
             let head = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n";
@@ -442,10 +478,6 @@
                 guard.changes.iter().filter(|(seq, _)| *seq > seen).map(|(seq, hosts)| list_json(*seq, false, hosts)).collect();
             seen = guard.seq.max(seen);
             drop(guard);
-            if self.silent.load(Ordering::Relaxed) {
-                thread::sleep(Duration::from_secs(300));
-                return Ok(());
-            }
             if lines.is_empty() {
                 lines.push(String::new());
             }
