--- a/review/standins-2/src/lib.rs
+++ b/review/standins-2/src/lib.rs
@@ -5,6 +5,7 @@
 use std::fs;
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -12,6 +13,13 @@
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
+extern "C" {
+    /// Of the C library, which the standard library is linked with.
+    fn prctl(option: i32, a: u64, b: u64, c: u64, d: u64) -> i32;
+}
+const PR_SET_PDEATHSIG: i32 = 1;
+const SIGKILL: u64 = 9;
+
 /// What was sent, answered and run, with the seconds since the start of the case.
 #[derive(Clone)]
 pub struct Record {
@@ -630,7 +638,15 @@
         let config_path = case.temp.join(format!("{}.json", config.name));
         fs::write(&config_path, config.json()).map_err(|error| error.to_string())?;
         let log = fs::OpenOptions::new().create(true).append(true).open(case.temp.join(format!("{}.log", config.name))).unwrap();
-        let child = Command::new("/bin/sh")
+        let mut command = Command::new("/bin/sh");
+        // SAFETY: only a system call, between fork and exec. The ingress is killed when the case ends, however that ends.
+        unsafe {
+            command.pre_exec(|| {
+                prctl(PR_SET_PDEATHSIG, SIGKILL, 0, 0, 0);
+                Ok(())
+            });
+        }
+        let child = command
             .args(["-c", "exec target/release/chalkgap platform"])
             .env("RELAY_CONFIG", &config_path)
             .env("RELAY_NAME", &config.name)
