--- a/review/standins-2/src/bin/hang.rs
+++ b/review/standins-2/src/bin/hang.rs
@@ -21,7 +21,7 @@
 const TIMEOUT_MS: u64 = 1000;
 /// A final answer is lost half a second after the request's time; each time limit is 50 ms longer.
 const LATEST: f64 = TIMEOUT_MS as f64 / 1e3 + 0.5 + 0.05;
-const SECONDS: f64 = 15.0;
+const SECONDS: f64 = 30.0;
 
 fn bad_client(address: SocketAddr, number: u64, at_once: u64, stop: Arc<AtomicBool>, turned_away: Arc<AtomicU64>, connections: Arc<AtomicU64>) {
     let list = "c=no-such-class,t=starter,d=3000,k=00000000000000aa,units=1,spread=3,first=0";
