--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -1,10 +1,10 @@
 #!/bin/bash
 # 1: the rule was broken; 0: it held; 2: the case could not run. TROUBLE=0 plays it without the disruption.
 cd "$(dirname "$0")/../.." || exit 2
-for program in target/release/chalkgap review/standins-2/target/release/successive; do
+for program in target/release/chalkgap review/standins-2/target/release/once_only; do
     [ -x "$program" ] || { echo "$program is not built"; exit 2; }
 done
-review/standins-2/target/release/successive review/8
+review/standins-2/target/release/once_only review/8
 code=$?
 [ "$code" -le 2 ] || code=2
 exit "$code"
