Review: case 6 within a site's connect timeout and window

Cause: in its first form the case needed a connect timeout of 1.2 s, as the system repeats the first packet of a connection after 1 s; the sites have 0.25 to 0.6 s.

Done: the stand-in answers the waiting connections from its side at a time of its own, so they come up 0.56 s late; timeout (0.6 s) and window (0.25 s) are those of quarry-gate. Ingresses of runs at the same time listen at loopback addresses of their own: two random runs that were started in the same instant had taken each other's port.

--- a/review/standins-2/src/bin/overtaken.rs
+++ b/review/standins-2/src/bin/overtaken.rs
@@ -8,27 +8,29 @@
 use std::time::Duration;
 
 /// How long the backends remember a key, in seconds.
-const WINDOW: f64 = 0.4;
+const WINDOW: f64 = 0.25;
 /// Each time limit is 50 ms longer on sockets.
 const SLACK: f64 = 0.05;
 /// The work of the class, in seconds.
-const WORK: f64 = 0.8;
+const WORK: f64 = 0.4;
+/// How late the connections to one of the backends come up, in seconds.
+const LATE: f64 = 0.56;
 const REQUESTS: u64 = 12;
-const TIMEOUT_MS: u64 = 3000;
+const TIMEOUT_MS: u64 = 1000;
 
 fn main() {
     let case = Case::begin();
     let record = case.record.clone();
-    let backends: Vec<Backend> =
-        (0..4).map(|n| Backend::start(&record, &format!("s{n}"), Arc::new(|_: &Arrived| Reaction::Serve(WORK)))).collect();
+    let script: Script = Arc::new(|_: &Arrived| Reaction::Serve(WORK));
+    let backends: Vec<Backend> = (0..4).map(|n| Backend::start(&record, &format!("s{n}"), script.clone())).collect();
     let hosts = backends.iter().map(|backend| Host::ready(backend, "bldg-a", 1)).collect();
     let discovery = Discovery::start(&record, 41, hosts);
     let peers = peer_addresses(2);
     let mut ingresses = Vec::new();
     for number in 0..2 {
         let mut config = Config::new(number, &peers, &discovery);
-        config.grades = grade("order", "by_key", 1_000_000, 3_000_000, (WINDOW * 1e6) as u64, 3.0);
-        config.connect_timeout_us = 1_200_000;
+        config.grades = grade("order", "by_key", 500_000, 1_000_000, (WINDOW * 1e6) as u64, 3.0);
+        config.connect_timeout_us = 600_000;
         match Ingress::start(&case, config) {
             Ok(ingress) => ingresses.push(ingress),
             Err(error) => case.end(ingresses, &[], &[error]),
@@ -57,10 +59,10 @@
             })
         })
         .collect();
-    sleep(0.9);
+    sleep(LATE);
     if trouble() {
-        backends[0].resume();
-        record.line("connections to s0 are taken again");
+        let count = backends[0].bring_up(&record, &script);
+        record.line(format!("{count} connections to s0 come up, new ones come up at once again"));
     }
     clients.into_iter().for_each(|client| client.join().unwrap());
     sleep(1.5);
--- a/review/standins-2/src/lib.rs
+++ b/review/standins-2/src/lib.rs
@@ -4,8 +4,8 @@
 
 use std::fs;
 use std::io::{Read, Write};
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::os::fd::AsRawFd;
+use std::net::{IpAddr, Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::os::fd::{AsRawFd, FromRawFd};
 use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
@@ -18,7 +18,16 @@
     /// Of the C library, which the standard library is linked with.
     fn prctl(option: i32, a: u64, b: u64, c: u64, d: u64) -> i32;
     fn listen(socket: i32, backlog: i32) -> i32;
-}
+    fn socket(domain: i32, kind: i32, protocol: i32) -> i32;
+    fn setsockopt(socket: i32, level: i32, name: i32, value: *const i32, length: u32) -> i32;
+    fn bind(socket: i32, address: *const u8, length: u32) -> i32;
+    fn connect(socket: i32, address: *const u8, length: u32) -> i32;
+}
+const AF_INET: i32 = 2;
+const SOCK_STREAM_CLOEXEC: i32 = 0o2000001;
+const SOL_SOCKET: i32 = 1;
+const SO_REUSEADDR: i32 = 2;
+const SO_REUSEPORT: i32 = 15;
 const PR_SET_PDEATHSIG: i32 = 1;
 const SIGKILL: u64 = 9;
 
@@ -65,9 +74,16 @@
     thread::sleep(Duration::from_secs_f64(seconds.max(0.0)));
 }
 
-/// A loopback address that is free now.
+/// The loopback address of this run's ingresses. Runs at the same time have different ones, so that a port that is free in one of
+/// them is not taken by another before the ingress listens.
+fn own_loopback() -> IpAddr {
+    let process = std::process::id();
+    IpAddr::from([127, 100 + (process / 250 % 100) as u8, 1 + (process % 250) as u8, 1])
+}
+
+/// An address for an ingress that is free now.
 pub fn free_address() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+    TcpListener::bind((own_loopback(), 0)).unwrap().local_addr().unwrap()
 }
 
 /// The processes that the case has started and not ended.
@@ -278,6 +294,8 @@
 impl Backend {
     pub fn start(record: &Record, name: &str, script: Script) -> Backend {
         let listener = Arc::new(TcpListener::bind("127.0.0.1:0").unwrap());
+        // SAFETY: an option of an open socket. See `bring_up`.
+        unsafe { setsockopt(listener.as_raw_fd(), SOL_SOCKET, SO_REUSEPORT, &1, 4) };
         let backend = Backend {
             name: name.to_owned(),
             address: listener.local_addr().unwrap(),
@@ -305,14 +323,13 @@
     }
 
     /// New connections come up late: the queue of connections that nobody has taken is full, so the system drops the first
-    /// packet of each, and takes the second one, a second later, if [`Backend::resume`] was called before. Returns whether the
-    /// queue is full.
+    /// packet of each. They come up with [`Backend::bring_up`]. Returns whether the queue is full.
     pub fn come_up_late(&self) -> bool {
         self.late.store(true, Ordering::Relaxed);
         // SAFETY: the socket listens already; this changes the length of its queue.
         unsafe { listen(self.listener.as_raw_fd(), 0) };
         let mut filling = self.filling.lock().unwrap();
-        while filling.len() < 8 {
+        for _ in 0..10 {
             match TcpStream::connect_timeout(&self.address, Duration::from_millis(200)) {
                 Ok(stream) => filling.push(stream),
                 // The first one may have been dropped before the thread of the listener took the one before it.
@@ -323,12 +340,37 @@
         false
     }
 
-    /// New connections are taken again.
-    pub fn resume(&self) {
+    /// The connections that have been begun since [`Backend::come_up_late`] come up now, and new ones come up at once again.
+    /// Returns how many came up.
+    pub fn bring_up(&self, record: &Record, script: &Script) -> usize {
+        let begun = self.begun_connections();
+        let mut count = 0;
+        for port in &begun {
+            match open_towards(self.address, *port) {
+                Ok(stream) => {
+                    count += 1;
+                    let (record, backend, script, number) = (record.clone(), self.clone(), script.clone(), 1000 + count as u64);
+                    thread::spawn(move || {
+                        let _ = backend.serve(&record, stream, number, &script);
+                    });
+                }
+                Err(error) => record.line(format!("a connection to {} does not come up: {error}", self.name)),
+            }
+        }
         self.late.store(false, Ordering::Relaxed);
         self.filling.lock().unwrap().clear();
         // SAFETY: as above.
         unsafe { listen(self.listener.as_raw_fd(), 128) };
+        count
+    }
+
+    /// The ports of the connections to this backend whose first packet has got no answer (state SYN_SENT).
+    fn begun_connections(&self) -> Vec<u16> {
+        let here = format!("0100007F:{:04X}", self.address.port());
+        let table = fs::read_to_string("/proc/net/tcp").unwrap_or_default();
+        let fields = table.lines().map(|line| line.split_whitespace().collect::<Vec<_>>());
+        let begun = fields.filter(|fields| fields.len() > 3 && fields[2] == here && fields[3] == "02");
+        begun.filter_map(|fields| u16::from_str_radix(fields[1].split(':').nth(1)?, 16).ok()).collect()
     }
 
     fn serve(&self, record: &Record, mut stream: TcpStream, connection: u64, script: &Script) -> std::io::Result<()> {
@@ -369,6 +411,33 @@
     }
 }
 
+/// Answers a connection from `port` of 127.0.0.1 to `address` that waits for an answer: opens it from this side too.
+fn open_towards(address: SocketAddr, port: u16) -> std::io::Result<TcpStream> {
+    let encode = |port: u16| {
+        let mut bytes = [0u8; 16];
+        bytes[..2].copy_from_slice(&(AF_INET as u16).to_ne_bytes());
+        bytes[2..4].copy_from_slice(&port.to_be_bytes());
+        bytes[4..8].copy_from_slice(&[127, 0, 0, 1]);
+        bytes
+    };
+    let (here, there) = (encode(address.port()), encode(port));
+    // SAFETY: calls of the system on a new socket, which the stream owns; the addresses are 16 bytes long.
+    unsafe {
+        let number = socket(AF_INET, SOCK_STREAM_CLOEXEC, 0);
+        if number < 0 {
+            return Err(std::io::Error::last_os_error());
+        }
+        let stream = TcpStream::from_raw_fd(number);
+        for option in [SO_REUSEADDR, SO_REUSEPORT] {
+            setsockopt(number, SOL_SOCKET, option, &1, 4);
+        }
+        if bind(number, here.as_ptr(), 16) != 0 || connect(number, there.as_ptr(), 16) != 0 {
+            return Err(std::io::Error::last_os_error());
+        }
+        Ok(stream)
+    }
+}
+
 // ---------------------------------------------------------------- discovery
 
 #[derive(Clone, Debug)]
@@ -667,7 +736,7 @@
 
 /// Free loopback addresses for the messages between `count` ingresses.
 pub fn peer_addresses(count: usize) -> Vec<SocketAddr> {
-    let sockets: Vec<_> = (0..count).map(|_| std::net::UdpSocket::bind("127.0.0.1:0").unwrap()).collect();
+    let sockets: Vec<_> = (0..count).map(|_| std::net::UdpSocket::bind((own_loopback(), 0)).unwrap()).collect();
     sockets.iter().map(|socket| socket.local_addr().unwrap()).collect()
 }
 
