Review case: customers seen once pass the memory limit

Cause: each customer number gets a record that is kept for 20 s, also if the request is rejected, and the number of records has no limit.

--- a/review/standins-3/lab.py
+++ b/review/standins-3/lab.py
@@ -379,3 +379,28 @@
         if self.sock:
             self.sock.close()
         self.sock = None
+
+
+class MemoryWatch:
+    """Kills an ingress that goes over its memory, as the platform does. Counts anonymous memory alone, so that the files of the
+    system don't matter, and reads a limit in MB as MiB."""
+
+    def __init__(self, lab, ingress, memory_mb):
+        self.lab, self.ingress, self.limit_kib, self.peak_kib, self.killed = lab, ingress, memory_mb * 1024, 0, False
+        threading.Thread(target=self.run, daemon=True).start()
+
+    def run(self):
+        while not self.killed:
+            try:
+                with open("/proc/%d/status" % self.ingress.process.pid) as status:
+                    for line in status:
+                        if line.startswith("RssAnon:"):
+                            self.peak_kib = max(self.peak_kib, int(line.split()[1]))
+            except (OSError, ProcessLookupError):
+                return
+            if self.peak_kib > self.limit_kib:
+                self.lab.note("anonymous memory of %s: %d KiB, over its limit of %d KiB: killed"
+                              % (self.ingress.name, self.peak_kib, self.limit_kib))
+                self.killed = True
+                self.ingress.process.kill()
+            time.sleep(0.002)
