Review case: a drain is dropped by a new configuration under load

Cause: where lists are asked for, a list is recorded as applied before the driver has it; a new address of discovery ends the wait for the driver's queue and drops the change for good.

--- a/review/standins-3/lab.py
+++ b/review/standins-3/lab.py
@@ -230,9 +230,15 @@
         self.listener.listen(64)
         self.port = self.listener.getsockname()[1]
         self.address = "127.0.0.1:%d" % self.port
-        self.silent = False
+        self.silent, self.retired_at = False, None
         threading.Thread(target=self.accept, daemon=True).start()
 
+    def retire(self):
+        """A new configuration names another address: takes no new connection, and closes the open ones after 1.5 s."""
+        self.retired_at = time.time()
+        self.listener.shutdown(socket.SHUT_RDWR)
+        self.listener.close()
+
     def whole(self):
         return {"seq": self.seq, "whole": True, "hosts": [h for h in self.hosts.values() if h["health"] != "gone"]}
 
@@ -246,7 +252,10 @@
 
     def accept(self):
         while True:
-            conn, _ = self.listener.accept()
+            try:
+                conn, _ = self.listener.accept()
+            except OSError:
+                return
             conn.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             threading.Thread(target=self.serve, args=(conn,), daemon=True).start()
 
@@ -259,6 +268,7 @@
                     return
                 data += more
             path = data.split(b" ")[1].decode()
+            self.lab.note("discovery at %d: %s" % (self.port, path))
             while self.silent:
                 time.sleep(0.02)
             if "watch=1" not in path:
@@ -274,12 +284,17 @@
                     if not new:
                         self.lock.wait(2.0)
                         new = [c for c in self.changes if c[0] > seen]
+                if self.retired_at and time.time() > self.retired_at + 1.5:
+                    return
+                with self.lock:
                     lines = [json.dumps({"seq": seq, "whole": False, "hosts": hosts}) + "\n" for seq, hosts in new]
                     if new:
                         seen = new[-1][0]
                 for text in lines or ["\n"]:
                     text = text.encode()
                     conn.sendall(b"%x\r\n%s\r\n" % (len(text), text))
+                    if new:
+                        self.lab.note("discovery at %d writes %s" % (self.port, text.decode().strip()))
         except OSError:
             pass
         finally:
