A connection that always has something to read yields to other tasks

Cause: Pipe::turn ends as soon as a read finds bytes, and the connection asks for the next turn at once. The loop yielded only after a turn with more than 32 commands, which a read of 16 KiB cannot hold if they are longer than 512 bytes.

Change: a Pipe yields after two turns without a wait, and reads 4 KiB at most (16 KiB before), so the limit is on work and holds for every front. Twins with the same cause: discovery's watch that sends without end, datagrams of peers (platform and serve), the accept loop of unary servers.

--- a/crates/gateway/src/instance.rs
+++ b/crates/gateway/src/instance.rs
@@ -19,6 +19,7 @@
 use chalkgap_core::Gateway;
 use chalkgap_runtime::{Datagrams, Micros, Shared};
 use chalkgap_transport::while_alive;
+use futures_lite::future;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
@@ -387,6 +388,7 @@
                 continue;
             }
         };
+        future::yield_now().await; // datagrams may arrive without end
         match (opener.open(runtime.now(), &buffer[..length]), &membership) {
             (Ok(Opened { channel: Channel::Gossip, from, message }), _) => {
                 let event = DriverEvent::Gossip { from, bytes: message.to_vec() };
--- a/crates/platform/src/client_connection.rs
+++ b/crates/platform/src/client_connection.rs
@@ -9,7 +9,6 @@
 use chalkgap_core::RequestId;
 use chalkgap_runtime::{Micros, Stream};
 use chalkgap_transport::{Pipe, Turn};
-use futures_lite::future;
 use std::collections::HashMap;
 use std::sync::atomic::Ordering;
 
@@ -152,9 +151,6 @@
             self.permit.handshake_completed();
         }
         self.update_partial_command(commands_before, &pipe.conn);
-        if pipe.conn.commands_received() - commands_before > MAX_PENDING_COMMANDS as u64 {
-            future::yield_now().await; // a client may send commands without end that are answered at once
-        }
         ClientState::Connected
     }
 
--- a/crates/platform/src/discovery/call.rs
+++ b/crates/platform/src/discovery/call.rs
@@ -12,6 +12,8 @@
 use std::task::{Context, Poll};
 
 const READ_BUFFER_BYTES: usize = 8 << 10;
+/// Maximum number of consecutive reads without a wait before the task yields. Discovery may send without end.
+const READS_BEFORE_YIELD: u32 = 16;
 
 /// What a call requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -105,6 +107,8 @@
     last_progress_at: Micros,
     /// When the first part of the next list was received.
     partial_since: Option<Micros>,
+    /// Number of reads since the last wait.
+    reads_without_wait: u32,
     alarm: Alarm,
 }
 
@@ -138,6 +142,7 @@
             has_answered: false,
             last_progress_at: now,
             partial_since: None,
+            reads_without_wait: 0,
             alarm: Alarm::new(runtime.clone()),
         })
     }
@@ -215,8 +220,18 @@
                 return Poll::Ready(Ok(()));
             }
         };
+        if self.reads_without_wait >= READS_BEFORE_YIELD {
+            self.reads_without_wait = 0;
+            cx.waker().wake_by_ref();
+            return Poll::Pending;
+        }
         let mut buffer = [0; READ_BUFFER_BYTES];
-        let count = ready!(Pin::new(stream).poll_read(cx, &mut buffer)).map_err(io_error)?;
+        let Poll::Ready(read) = Pin::new(stream).poll_read(cx, &mut buffer) else {
+            self.reads_without_wait = 0;
+            return Poll::Pending;
+        };
+        self.reads_without_wait += 1;
+        let count = read.map_err(io_error)?;
         if count == 0 {
             return Poll::Ready(Err(DiscoveryError::ConnectionEnded));
         }
--- a/crates/platform/src/gossip.rs
+++ b/crates/platform/src/gossip.rs
@@ -6,6 +6,7 @@
 use chalkgap::frontend::{DriverEvent, TokenBucket};
 use chalkgap::telemetry::{add, Telemetry};
 use chalkgap_runtime::{Datagrams, Micros, Shared};
+use futures_lite::future;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -48,7 +49,8 @@
             runtime.sleep_until(runtime.now() + RECEIVE_ERROR_DELAY_MICROS).await;
             continue;
         };
-        // Datagrams from unknown senders are dropped before the rate limit, so that they do not use up the peers' share.
+        future::yield_now().await; // datagrams may arrive without end
+                                   // Datagrams from unknown senders are dropped before the rate limit, so that they do not use up the peers' share.
         let peer = peers_by_address.get(&address).copied().filter(|_| length <= MAX_DATAGRAM_BYTES);
         let Some(from) = peer.filter(|_| rate_limit.take(runtime.now())) else {
             add(&telemetry.peer_dropped);
--- a/crates/transport/src/pipe.rs
+++ b/crates/transport/src/pipe.rs
@@ -14,7 +14,10 @@
 /// commands.
 const HIGH_WATER_BYTES: usize = 256 << 10;
 /// Maximum number of bytes per read. The buffer is on the stack, so that an idle connection holds no read buffer.
-const READ_BYTES: usize = 16 << 10;
+const READ_BYTES: usize = 4 << 10;
+/// Maximum number of consecutive turns without a wait before the task yields. With [`READ_BYTES`] it limits how long a peer that
+/// sends without end can keep other tasks of the thread waiting.
+const TURNS_BEFORE_YIELD: u32 = 2;
 /// Interval at which a stream that is not read is checked for whether the peer has left. The end of the stream does not
 /// wake the task while unread bytes precede it, and a client that leaves has to be noticed within 100 ms.
 const PEER_LEFT_CHECK_MICROS: Micros = 25_000;
@@ -55,6 +58,8 @@
     next_peer_check: Option<Micros>,
     /// The time since which the stream has been read without a pause. `None` while it is not read.
     reading_since: Option<Micros>,
+    /// Number of turns that ended without a wait since the last wait.
+    turns_without_wait: u32,
 }
 
 impl<C, M: Machine> Pipe<C, M> {
@@ -77,6 +82,7 @@
             backlog: None,
             next_peer_check: None,
             reading_since: None,
+            turns_without_wait: 0,
         }
     }
 
@@ -126,10 +132,12 @@
     }
 
     /// Writes the output, then waits for the next [`Turn`]. Returns [`Turn::Time`] if none occurs before `until`. Bytes
-    /// are read only if `read` is true; a peer that leaves is noticed in either case.
+    /// are read only if `read` is true; a peer that leaves is noticed in either case. A pipe that always has something to do
+    /// yields to other tasks between turns.
     ///
     /// The future may be dropped at any time: all state is kept in the pipe.
     pub async fn turn(&mut self, until: Option<Micros>, read: bool) -> Turn<C, M::Error> {
+        self.yield_if_busy().await;
         future::poll_fn(|cx| self.poll_turn(cx, until, read)).await
     }
 
@@ -140,6 +148,7 @@
         until: Option<Micros>,
         read: bool,
     ) -> Option<Turn<C, M::Error>> {
+        self.yield_if_busy().await;
         future::poll_fn(|cx| match self.poll_turn(cx, until, read) {
             Poll::Ready(turn) => Poll::Ready(Some(turn)),
             Poll::Pending if self.backlog.is_none() => Poll::Ready(None),
@@ -162,9 +171,28 @@
         future::or(end, timeout).await;
     }
 
+    /// Yields to other tasks if the last turns ended without a wait.
+    async fn yield_if_busy(&mut self) {
+        if self.turns_without_wait >= TURNS_BEFORE_YIELD {
+            self.turns_without_wait = 0;
+            future::yield_now().await;
+        }
+    }
+
+    fn poll_turn(
+        &mut self,
+        cx: &mut Context<'_>,
+        until: Option<Micros>,
+        read: bool,
+    ) -> Poll<Turn<C, M::Error>> {
+        let turn = self.poll_next_event(cx, until, read);
+        self.turns_without_wait = if turn.is_ready() { self.turns_without_wait + 1 } else { 0 };
+        turn
+    }
+
     /// If several turns are possible, the order of the checks decides which is returned: a command, then received bytes,
     /// then the signal, then the time.
-    fn poll_turn(
+    fn poll_next_event(
         &mut self,
         cx: &mut Context<'_>,
         until: Option<Micros>,
--- a/crates/transport/src/unary/server.rs
+++ b/crates/transport/src/unary/server.rs
@@ -7,6 +7,7 @@
 use chalkgap_runtime::{BoxFuture, Listener, Micros, Shared, Stream};
 use chalkgap_wire::grpc::{Code, Deframer, Status};
 use chalkgap_wire::http2::{Config, Connection, Event, Field};
+use futures_lite::future;
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
@@ -46,6 +47,7 @@
             runtime.sleep_until(runtime.now() + ACCEPT_BACKOFF_MICROS).await;
             continue;
         };
+        future::yield_now().await; // clients may connect without end
         if open_connections.fetch_add(1, Ordering::Relaxed) >= limits.connections {
             open_connections.fetch_sub(1, Ordering::Relaxed);
             continue;
