The number of customers' records is limited by memory

Cause: each customer gets a record before load shedding and quota decide, also one whose request is rejected at once, and one that a peer reports; it stays for 20 s at least and for up to 11 days in a plan with a large burst, and nothing limited the number.

Change: customer_limit.rs. At the limit only records without which the customer loses nothing make room: no open request, no attempt at a peer, and nothing taken from the buckets or both full. If there are none, requests of new customers are rejected. Reports that wait for a peer go with their record.

--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -62,6 +62,9 @@
         if !self.is_well_formed(&request) || !self.has_time_to_wait(request.deadline, self.now) {
             return self.reject(request.id, 0, actions);
         }
+        if !self.has_room_for(request.customer) {
+            return self.reject(request.id, self.room_expected_in(), actions);
+        }
         let is_green = self.register_customer(&request);
         let plans = &self.settings.plans;
         let plan = &plans[usize::from(request.plan)];
--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -53,6 +53,8 @@
     pub(crate) resumed_at: Micros,
     pub(crate) next_maintenance: Micros,
     pub(crate) next_poll: Micros,
+    /// When records of customers may be searched for removal again.
+    pub(crate) next_removal_search: Micros,
 
     pub(crate) requests: BTreeMap<RequestId, InFlightRequest>,
     /// Admitted requests that wait for an endpoint, in order of admission.
@@ -106,6 +108,7 @@
             resumed_at: 0,
             next_maintenance: 0,
             next_poll: 0,
+            next_removal_search: 0,
             requests: BTreeMap::new(),
             queue: VecDeque::new(),
             checks: BinaryHeap::new(),
--- a/crates/core/src/interface/settings.rs
+++ b/crates/core/src/interface/settings.rs
@@ -162,6 +162,9 @@
     pub weight_meaning: WeightMeaning,
     /// Reporting period of the meter; 0 if there is none.
     pub meter_period: Micros,
+    /// Maximum number of customers that the gateway keeps a record of; 0 for no limit. A record takes up to
+    /// [`CUSTOMER_RECORD_BYTES`](crate::CUSTOMER_RECORD_BYTES).
+    pub max_customers: usize,
     /// Whether a request's units are an estimate that is settled with the answer.
     pub post_paid: bool,
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -11,6 +11,7 @@
 //! | --- | --- |
 //! | `admission` | whether an arriving request is rejected, held or queued |
 //! | `quota`, `ownership` | token buckets and hard limits; which gateways keep them |
+//! | `customer_limit` | how many customers are kept, and which make room for others |
 //! | `quota_gossip` | reports of use to the owners of a quota, and their replies |
 //! | `load_shedding` | the steps of an alert, and which customers they reject |
 //! | `concurrency`, `latency` | the pressure on the endpoints, and the limit on attempts in flight |
@@ -93,6 +94,7 @@
 mod completion;
 mod concurrency;
 mod customer;
+mod customer_limit;
 mod decay;
 mod endpoints;
 mod gateway;
@@ -110,6 +112,7 @@
 mod retry;
 mod slow_start;
 
+pub use customer_limit::CUSTOMER_RECORD_BYTES;
 pub(crate) use gateway::FleetSize;
 pub use gateway::Gateway;
 pub use interface::*;
--- a/crates/core/src/quota_gossip/owner.rs
+++ b/crates/core/src/quota_gossip/owner.rs
@@ -113,6 +113,9 @@
         sender_is_younger: bool,
         report: UsageReport,
     ) -> Option<OwnerReply> {
+        if !self.has_room_for(report.customer) {
+            return None;
+        }
         let now = self.now;
         let plan_index = usize::from(report.plan);
         let plan = self.settings.plans.get(plan_index)?;
--- a/crates/core/src/quota_gossip/reports.rs
+++ b/crates/core/src/quota_gossip/reports.rs
@@ -154,14 +154,20 @@
         self.next_maintenance = now + MAINTENANCE_INTERVAL;
         let plans = &self.settings.plans;
         let mut to_report = Vec::new();
+        let mut expired = Vec::new();
         self.customers.retain(|id, customer| {
             let plan = &plans[customer.plan];
             if plan.max_in_flight > 0 && customer.in_flight > 0 {
                 to_report.push(*id);
             }
             customer.expire_peers(now, plan);
-            customer.is_needed(now, plan)
+            let is_needed = customer.is_needed(now, plan);
+            if !is_needed {
+                expired.push((*id, std::mem::take(customer)));
+            }
+            is_needed
         });
+        expired.iter().for_each(|(id, customer)| self.drop_reports(*id, customer));
         to_report.into_iter().for_each(|id| self.report(id, |_| true));
     }
 }
--- a/crates/core/tests/decision_trace.rs
+++ b/crates/core/tests/decision_trace.rs
@@ -246,6 +246,7 @@
         },
         meter_period: 0,
         post_paid: kind == SettingsKind::Polling,
+        max_customers: 0,
     }
 }
 
--- a/crates/deployment-config/src/sections.rs
+++ b/crates/deployment-config/src/sections.rs
@@ -32,6 +32,7 @@
         weight_meaning: weight_meaning(values)?,
         meter_period: values.micros("family_info.meter_period_us")?,
         post_paid: values.flag("family_info.post_paid")?,
+        max_customers: 0,
     })
 }
 
--- a/crates/gateway/src/settings/core_settings.rs
+++ b/crates/gateway/src/settings/core_settings.rs
@@ -7,6 +7,9 @@
     milliseconds * 1000
 }
 
+/// Maximum number of customers that are kept beside the accounts of the settings, some 120 MB.
+const MAX_OTHER_CUSTOMERS: usize = 100_000;
+
 impl Compiled {
     /// Returns the settings of the core.
     pub fn core(&self) -> core::Settings {
@@ -29,6 +32,7 @@
             },
             meter_period: 0,
             post_paid: false,
+            max_customers: settings.accounts.len() + MAX_OTHER_CUSTOMERS,
         }
     }
 }
--- a/crates/platform/src/config.rs
+++ b/crates/platform/src/config.rs
@@ -2,6 +2,7 @@
 //! `RELAY_CONFIG`.
 
 use crate::endpoint_list::EndpointList;
+use chalkgap_core::CUSTOMER_RECORD_BYTES;
 use chalkgap_deployment_config::DeploymentConfig;
 use serde::Deserialize;
 use std::io::Read;
@@ -14,6 +15,10 @@
 const MAX_CONFIG_BYTES: u64 = 16 << 20;
 /// Minimum number of file descriptors that an ingress needs.
 const MIN_DESCRIPTORS: u64 = 64;
+/// The records of customers may use the process's memory limit divided by this.
+const CUSTOMER_MEMORY_DIVISOR: usize = 4;
+/// Number of customers that are kept whatever the memory limit.
+const MIN_CUSTOMERS: usize = 1000;
 
 /// Why a configuration is rejected.
 #[derive(Debug, thiserror::Error)]
@@ -161,14 +166,22 @@
     }
 }
 
+/// Returns how many customers may be kept in a process with this memory limit.
+fn max_customers(memory_bytes: u64) -> usize {
+    let records = memory_bytes as usize / CUSTOMER_MEMORY_DIVISOR / CUSTOMER_RECORD_BYTES;
+    records.max(MIN_CUSTOMERS)
+}
+
 impl ConfigDocument {
     fn validate(self) -> Result<Config, InvalidValue> {
         let seed = u64::from_str_radix(&self.seed, 16).map_err(|_| InvalidValue::Seed(self.seed))?;
         if self.limits.descriptors < MIN_DESCRIPTORS {
             return Err(InvalidValue::Descriptors(self.limits.descriptors));
         }
-        let deployment = chalkgap_deployment_config::from_json(&self.settings)
+        let memory_bytes = (self.limits.memory_mb.max(0.0) * 1e6) as u64;
+        let mut deployment = chalkgap_deployment_config::from_json(&self.settings)
             .map_err(|error| InvalidValue::Settings(error.to_string()))?;
+        deployment.settings.max_customers = max_customers(memory_bytes);
         let gateways = usize::from(deployment.settings.gateways);
         let gossips = deployment.settings.limits.gossip && self.peer_listen.is_some();
         if gossips && gateways != self.peers.len() {
@@ -179,7 +192,7 @@
             listen: self.listen,
             discovery: self.discovery,
             seed,
-            memory_bytes: (self.limits.memory_mb.max(0.0) * 1e6) as u64,
+            memory_bytes,
             descriptors: self.limits.descriptors,
             peer_listen: self.peer_listen,
             peers: self.peers,
