No attempt of a keyed request is written after the window of its key

Its first attempt waited for a connection that came up 0.56 s late; a further attempt ran after 0.18 s, and the first was written 0.38 s after that, with 0.3 s allowed.

Cause: the latest time of a write is computed once, when an attempt starts, from the attempts before it. An attempt that waits for its connection or is written in part is not told that a later one was written first.

Change: the attempts of a request share a RepeatWindow, which begins when the last byte of any of them has been written. A connection asks for its end before each write, so the order in which attempts started does not matter; one that is written in part is cut. Its length is the core's. serve's calls use the same check (no test there).

--- a/crates/core/src/load_balancing.rs
+++ b/crates/core/src/load_balancing.rs
@@ -134,6 +134,16 @@
         }
     }
 
+    /// Returns how long after the first attempt of a request has been written further ones may be written, in
+    /// microseconds; `None` if the class has no idempotency key. [`Action::StartAttempt`] states a time for later
+    /// attempts; the host has to apply this one to all, as it knows which attempt is written first.
+    pub fn repeat_window(&self, class: u8) -> Option<Micros> {
+        match self.settings.classes.get(usize::from(class))?.retry_safety {
+            RetrySafety::IdempotencyKey { window, .. } => Some(window.saturating_sub(self.settings.tick)),
+            RetrySafety::Idempotent | RetrySafety::NotIdempotent => None,
+        }
+    }
+
     /// Returns the endpoints that the next attempt may go to; `None` if the idempotency key is no longer remembered.
     fn retry_targets(&self, request: &InFlightRequest) -> Option<RetryTargets> {
         let class = &self.settings.classes[usize::from(request.request.class)];
--- a/crates/gateway/src/driver/attempts.rs
+++ b/crates/gateway/src/driver/attempts.rs
@@ -39,6 +39,7 @@
             ledger_entry_at: None,
             deadline,
             start_by: (start_by > 0).then_some(start_by),
+            repeat_window: in_flight.repeat_window.clone(),
         };
         add(&self.telemetry.attempts);
         in_flight.attempts.push(Attempt {
--- a/crates/gateway/src/driver/in_flight.rs
+++ b/crates/gateway/src/driver/in_flight.rs
@@ -2,6 +2,7 @@
 
 use super::ledger_entries::LedgerState;
 use crate::messages::PendingRequest;
+use crate::repeat_window::RepeatWindow;
 use chalkgap_core::{BackendId, RequestId};
 use chalkgap_runtime::Micros;
 use std::collections::{BTreeSet, HashMap};
@@ -34,6 +35,8 @@
     pub attempts: Vec<Attempt>,
     pub answered: bool,
     pub ledger: LedgerState,
+    /// The window in which its attempts have to be written; `None` if it has no idempotency key.
+    pub repeat_window: Option<RepeatWindow>,
 }
 
 impl<W> InFlightRequest<W> {
--- a/crates/gateway/src/driver/requests.rs
+++ b/crates/gateway/src/driver/requests.rs
@@ -4,6 +4,7 @@
 use super::ledger_entries::{LedgerDecision, LedgerState};
 use super::Driver;
 use crate::messages::{Answer, PendingRequest, Response, Upstream};
+use crate::repeat_window::RepeatWindow;
 use crate::telemetry::add;
 use chalkgap_core::{Event, Request, RequestId};
 use chalkgap_runtime::Micros;
@@ -37,7 +38,9 @@
             gateway_count: request.customer.gateway_count,
             first_gateway: request.customer.first_gateway,
         };
-        let in_flight = InFlightRequest { request, attempts: Vec::new(), answered: false, ledger };
+        let repeat_window = self.core.repeat_window(request.class).map(RepeatWindow::new);
+        let in_flight =
+            InFlightRequest { request, attempts: Vec::new(), answered: false, ledger, repeat_window };
         self.in_flight.insert(core_request.id, in_flight);
         self.handle(Event::Request(core_request));
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -22,6 +22,7 @@
 mod messages;
 pub mod node_list;
 pub mod peers;
+mod repeat_window;
 pub mod settings;
 pub mod telemetry;
 mod upstream;
@@ -36,6 +37,7 @@
         Answer, AttemptResult, DriverEvent, OutboundAttempt, PendingRequest, Response, Upstream,
     };
     pub use crate::peers::TokenBucket;
+    pub use crate::repeat_window::RepeatWindow;
     pub use crate::settings::Customer;
 }
 
--- a/crates/gateway/src/messages.rs
+++ b/crates/gateway/src/messages.rs
@@ -2,6 +2,7 @@
 //! of their own, so that none of these modules has to depend on another.
 
 use crate::node_list::NodeList;
+use crate::repeat_window::RepeatWindow;
 use crate::settings::Customer;
 use async_channel::Sender;
 use bytes::Bytes;
@@ -172,8 +173,32 @@
     pub ledger_entry_at: Option<Micros>,
     /// Deadline of the attempt, in microseconds. The attempt times out if it has no result by then.
     pub deadline: Micros,
-    /// Latest time at which the attempt may be written to a connection, in microseconds. `None`: no limit.
+    /// Latest time at which the attempt may be written to a connection, in microseconds, as known when it started.
+    /// `None`: no limit.
     pub start_by: Option<Micros>,
+    /// The window in which all attempts of the request have to be written. `None`: the request has no idempotency key.
+    pub repeat_window: Option<RepeatWindow>,
+}
+
+impl<W> OutboundAttempt<W> {
+    /// Returns the latest time at which the attempt may be written to a connection, in microseconds. It becomes earlier
+    /// when another attempt of the request is written first. `None`: no limit.
+    pub fn write_by(&self) -> Option<Micros> {
+        let window_end = self.repeat_window.as_ref().and_then(RepeatWindow::end);
+        self.start_by.into_iter().chain(window_end).min()
+    }
+
+    /// Returns whether the attempt may be written at `now`.
+    pub fn may_be_written(&self, now: Micros) -> bool {
+        self.write_by().is_none_or(|write_by| now <= write_by)
+    }
+
+    /// Records that the attempt has been written completely. `now` is a time before its last byte was written.
+    pub fn record_written(&self, now: Micros) {
+        if let Some(window) = &self.repeat_window {
+            window.record_written(now);
+        }
+    }
 }
 
 /// Connections to nodes in some protocol.
--- a/crates/gateway/src/upstream/calls.rs
+++ b/crates/gateway/src/upstream/calls.rs
@@ -35,7 +35,7 @@
             let Some(call) = self.unsent.pop_front() else { return };
             let now = self.shared.runtime.now();
             let time_left = call.deadline.saturating_sub(now);
-            if time_left == 0 || call.start_by.is_some_and(|start_by| now > start_by) {
+            if time_left == 0 || !call.may_be_written(now) {
                 self.results.push(result_without_answer(&call, Outcome::NotSent));
                 continue;
             }
@@ -43,6 +43,7 @@
                 self.results.push(result_without_answer(&call, Outcome::NotSent));
                 continue;
             };
+            call.record_written(now);
             // Cannot fail: the stream is new and its buffer empty.
             let _ = pipe.conn.data(stream, call.work.body.clone(), true);
             let body = Deframer::new(self.shared.settings.settings.upstream.most_message);
--- a/crates/platform/src/backend/connection.rs
+++ b/crates/platform/src/backend/connection.rs
@@ -39,11 +39,6 @@
     }
 }
 
-/// Whether the attempt's `start_by` time has passed.
-pub(super) fn start_window_closed(attempt: &OutboundAttempt<ForwardedCommand>, now: Micros) -> bool {
-    attempt.start_by.is_some_and(|start_by| now > start_by)
-}
-
 /// The event that ended the wait for the next attempt.
 enum Wakeup {
     Command(ConnectionCommand),
@@ -164,7 +159,7 @@
         }
         let now = self.context.runtime.now();
         let remaining_micros = attempt.deadline.saturating_sub(now);
-        if remaining_micros == 0 || start_window_closed(attempt, self.context.runtime.now()) {
+        if remaining_micros == 0 || !attempt.may_be_written(now) {
             // No byte was written, so the connection can be used for the next attempt.
             return BackendReply { reusable: true, ..BackendReply::without_value(Outcome::NotSent) };
         }
--- a/crates/platform/src/backend/exchange.rs
+++ b/crates/platform/src/backend/exchange.rs
@@ -1,6 +1,5 @@
 //! One request and its reply on an open connection. The exchange can be cancelled between any two writes.
 
-use super::connection::start_window_closed;
 use super::{ConnectionCommand, ConnectionContext};
 use crate::backend_reply::{decode_backend_reply, BackendReply};
 use crate::memory_budget::MemoryReservation;
@@ -66,13 +65,16 @@
         // The backend starts a request when it has received its last byte, so one that is not fully written has not started.
         if !self.request_written() {
             let now = self.context.runtime.now();
-            if start_window_closed(self.attempt, now) || self.alarm.poll(self.attempt.start_by, cx).is_ready()
-            {
+            let is_too_late = self.alarm.poll(self.attempt.write_by(), cx).is_ready();
+            if is_too_late || !self.attempt.may_be_written(now) {
                 return Poll::Ready(BackendReply::without_value(Outcome::Cancelled));
             }
-        }
-        if let Poll::Ready(failed) = self.poll_write(cx) {
-            return Poll::Ready(failed);
+            if let Poll::Ready(failed) = self.poll_write(cx) {
+                return Poll::Ready(failed);
+            }
+            if self.request_written() {
+                self.attempt.record_written(now);
+            }
         }
         self.poll_read(cx)
     }
--- a/crates/platform/tests/rig/mod.rs
+++ b/crates/platform/tests/rig/mod.rs
@@ -309,6 +309,74 @@
     }
 }
 
+/// A stream whose peer takes some bytes and, after a pause, the others.
+pub struct StallingStream {
+    stream: Box<dyn Stream>,
+    bytes_before_stall: usize,
+    stall: Duration,
+    resumes_at: Option<Instant>,
+}
+
+impl StallingStream {
+    pub fn new(stream: Box<dyn Stream>, bytes_before_stall: usize, stall: Duration) -> StallingStream {
+        StallingStream { stream, bytes_before_stall, stall, resumes_at: None }
+    }
+}
+
+impl Stream for StallingStream {
+    fn peer(&self) -> SocketAddr {
+        self.stream.peer()
+    }
+
+    fn peer_closed(&self) -> bool {
+        self.stream.peer_closed()
+    }
+
+    fn acknowledge(&self) -> io::Result<()> {
+        self.stream.acknowledge()
+    }
+}
+
+impl AsyncRead for StallingStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffer: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_read(cx, buffer)
+    }
+}
+
+impl AsyncWrite for StallingStream {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
+        let count = bytes.len().min(self.bytes_before_stall);
+        if count > 0 {
+            self.bytes_before_stall -= count;
+            return Pin::new(&mut self.stream).poll_write(cx, &bytes[..count]);
+        }
+        let resumes_at = Instant::now() + self.stall;
+        let resumes_at = *self.resumes_at.get_or_insert(resumes_at);
+        let remaining = resumes_at.saturating_duration_since(Instant::now());
+        if remaining.is_zero() {
+            return Pin::new(&mut self.stream).poll_write(cx, bytes);
+        }
+        let waker = cx.waker().clone();
+        std::thread::spawn(move || {
+            std::thread::sleep(remaining);
+            waker.wake();
+        });
+        Poll::Pending
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_close(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_close(cx)
+    }
+}
+
 const ATTRIBUTES: &str = "c=sig-check,t=team,d=4000,units=1,spread=1,first=0";
 
 /// Creates a duration from milliseconds.
