Tests: the stand-in of discovery begins a watch with what changed after its version

A change that was sent between an ingress's request for the list and its watch was told to nobody: the stand-in sent it to the watches that were open and kept nothing.

Change: the stand-in keeps its changes, and a watch begins with those after the version that it names. Its own test, a_watch_begins_with_what_changed_after_its_version, failed before and passes.

--- a/crates/platform/tests/common/mod.rs
+++ b/crates/platform/tests/common/mod.rs
@@ -183,6 +183,8 @@
     pub port: u16,
     pub list: Arc<Mutex<String>>,
     pub watches: Arc<Mutex<Vec<TcpStream>>>,
+    /// All changes sent so far. A watch begins with those after its version. Locked after `watches`.
+    pub changes: Arc<Mutex<Vec<String>>>,
 }
 
 /// Starts a discovery service with this list.
@@ -203,8 +205,8 @@
                 head.push(byte[0]);
             }
             if head.starts_with(b"GET /api/targets?watch=1&from=") {
-                let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
-                served.watches.lock().unwrap().push(stream);
+                let from = number_after(&String::from_utf8_lossy(&head), "from=");
+                served.begin_watch(stream, from);
             } else {
                 let list = served.list.lock().unwrap().clone();
                 let _ = write!(stream, "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{list}", list.len());
@@ -215,14 +217,38 @@
 }
 
 impl Discovery {
-    /// Sends a change to all watches.
+    /// Sends a change to all watches, and to later ones that begin with an older version.
     pub fn send_change(&self, line: &str) {
-        for watch in self.watches.lock().unwrap().iter_mut() {
-            let _ = write!(watch, "{:x}\r\n{line}\n\r\n", line.len() + 1);
+        let mut watches = self.watches.lock().unwrap();
+        self.changes.lock().unwrap().push(line.to_owned());
+        watches.iter_mut().for_each(|watch| send_line(watch, line));
+    }
+
+    /// Answers a watch with what changed after the version `from`.
+    fn begin_watch(&self, mut stream: TcpStream, from: u64) {
+        let mut watches = self.watches.lock().unwrap();
+        let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+        for line in self.changes.lock().unwrap().iter() {
+            if number_after(line, "\"seq\":") > from {
+                send_line(&mut stream, line);
+            }
         }
+        watches.push(stream);
     }
 }
 
+/// Sends one line of a watch.
+fn send_line(watch: &mut TcpStream, line: &str) {
+    let _ = write!(watch, "{:x}\r\n{line}\n\r\n", line.len() + 1);
+}
+
+/// Returns the number that follows the first occurrence of `name`.
+fn number_after(text: &str, name: &str) -> u64 {
+    let (_, rest) = text.split_once(name).unwrap();
+    let digits = rest.split(|c: char| !c.is_ascii_digit()).next().unwrap();
+    digits.parse().unwrap()
+}
+
 /// A client's connection.
 pub struct Client {
     pub stream: TcpStream,
--- a/crates/platform/tests/discovery_faults.rs
+++ b/crates/platform/tests/discovery_faults.rs
@@ -299,3 +299,22 @@
         }
     });
 }
+
+/// The stand-in of discovery told a watch nothing of a change that was sent between the list and the watch, so the ingress under
+/// test never learned of it.
+#[test]
+fn a_watch_begins_with_what_changed_after_its_version() {
+    let discovery = common::discovery(String::new());
+    let change = r#"{"seq":2,"whole":false,"hosts":[]}"#;
+    discovery.send_change(change);
+    let first_line = |from: u64| {
+        let mut stream = std::net::TcpStream::connect(("127.0.0.1", discovery.port)).unwrap();
+        let request = format!("GET /api/targets?watch=1&from={from} HTTP/1.1\r\n\r\n");
+        std::io::Write::write_all(&mut stream, request.as_bytes()).unwrap();
+        stream.set_read_timeout(Some(std::time::Duration::from_millis(300))).unwrap();
+        let lines = std::io::BufRead::lines(std::io::BufReader::new(stream));
+        lines.map_while(Result::ok).find(|line| line.starts_with('{'))
+    };
+    assert_eq!(first_line(1).as_deref(), Some(change));
+    assert_eq!(first_line(2), None);
+}
