--- a/crates/platform/src/session.rs
+++ b/crates/platform/src/session.rs
@@ -129,7 +129,6 @@
         if self.input.is_empty() {
             self.input = BytesMut::new(); // an idle connection holds no buffer
         }
-        self.flush();
         None
     }
 
--- a/crates/runtime/src/simulated_runtime.rs
+++ b/crates/runtime/src/simulated_runtime/mod.rs
@@ -4,11 +4,17 @@
 //! A [`Simulation`] has [`Host`]s, each a [`Runtime`] with its own address, disk and clock. A host that is killed loses its
 //! tasks, its streams and the file contents that were not synced. A restarted host has the synced contents.
 
+mod datagrams;
+mod files;
+mod streams;
+
 pub use crate::link_faults::{Cut, LinkFaults};
 
 use crate::link_faults::CUT_POLL_INTERVAL_MICROS;
-use crate::{Append, BoxFuture, Datagrams, Files, Listener, Micros, Runtime, Stream, Task};
+use crate::{BoxFuture, Datagrams, Files, Listener, Micros, Runtime, Stream, Task};
 use async_executor::Executor;
+use datagrams::SimulatedSocket;
+use files::{Disk, FileContent};
 use futures_lite::future;
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
@@ -16,10 +22,10 @@
 use std::future::Future;
 use std::io;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
-use std::path::{Path, PathBuf};
-use std::pin::Pin;
+use std::path::PathBuf;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::task::{Context, Poll, Waker};
+use std::task::{Poll, Waker};
+use streams::{Direction, SimulatedListener, SimulatedStream};
 
 /// Maximum number of bytes that are in flight or unread in one direction of a stream.
 const WINDOW_BYTES: usize = 256 << 10;
@@ -37,27 +43,6 @@
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-/// One direction of a stream.
-#[derive(Default)]
-struct Direction {
-    /// Writes that were not read yet, each with its arrival time.
-    in_flight: VecDeque<(Micros, Vec<u8>)>,
-    /// Number of bytes in `in_flight`.
-    in_flight_bytes: usize,
-    /// The writer has closed; the reader sees the end of the stream after all bytes.
-    closed: bool,
-    /// The reader was dropped, a host was killed or the link was reset.
-    reset: bool,
-    reader: Option<Waker>,
-    writer: Option<Waker>,
-}
-
-impl Direction {
-    fn wake(&mut self) {
-        self.reader.take().into_iter().chain(self.writer.take()).for_each(Waker::wake);
-    }
-}
-
 struct ListenerState {
     host: u32,
     /// Generation of the host that bound it: dropping a listener of an earlier generation does not remove this one.
@@ -74,13 +59,6 @@
     waker: Option<Waker>,
 }
 
-#[derive(Default)]
-struct FileContent {
-    synced: Vec<u8>,
-    /// Appended and not yet synced; lost when the host is killed.
-    unsynced: Vec<u8>,
-}
-
 struct State {
     now: Micros,
     rng: SmallRng,
@@ -303,241 +281,6 @@
     }
 }
 
-// ---- streams ----
-
-/// One end of a stream.
-struct SimulatedStream {
-    state: Arc<Mutex<State>>,
-    /// The host of this end.
-    local_host: u32,
-    /// The host of the other end.
-    peer_host: u32,
-    peer: SocketAddr,
-    read: Arc<Mutex<Direction>>,
-    write: Arc<Mutex<Direction>>,
-}
-
-impl Stream for SimulatedStream {
-    fn peer(&self) -> SocketAddr {
-        self.peer
-    }
-
-    fn peer_closed(&self) -> bool {
-        let state = lock(&self.state);
-        let link = state.link(self.peer_host, self.local_host);
-        let direction = lock(&self.read);
-        // The end of the stream arrives after all bytes sent before it.
-        let all_arrived = direction.in_flight.back().is_none_or(|(at, _)| *at <= state.now);
-        link.cut != Some(Cut::Silent)
-            && !link.half_open
-            && (direction.reset || direction.closed && all_arrived)
-    }
-
-    fn acknowledge(&self) -> io::Result<()> {
-        Ok(()) // no write of the simulation waits for an acknowledgement
-    }
-}
-
-impl futures_lite::AsyncRead for SimulatedStream {
-    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buffer: &mut [u8]) -> Poll<io::Result<usize>> {
-        let mut state = lock(&self.state);
-        let link = state.link(self.peer_host, self.local_host);
-        let mut direction = lock(&self.read);
-        let ended = direction.reset || direction.closed && direction.in_flight.is_empty();
-        if link.cut == Some(Cut::Silent) || link.half_open && ended {
-            let next_poll = state.now + CUT_POLL_INTERVAL_MICROS;
-            state.wake_at(next_poll, cx.waker().clone());
-            return Poll::Pending;
-        }
-        if direction.reset {
-            return Poll::Ready(Err(io::ErrorKind::ConnectionReset.into()));
-        }
-        let closed = direction.closed;
-        match direction.in_flight.front_mut() {
-            Some((at, bytes)) if *at <= state.now => {
-                let len = bytes.len().min(buffer.len());
-                buffer[..len].copy_from_slice(&bytes[..len]);
-                bytes.drain(..len);
-                if bytes.is_empty() {
-                    direction.in_flight.pop_front();
-                }
-                direction.in_flight_bytes -= len;
-                if let Some(writer) = direction.writer.take() {
-                    writer.wake();
-                }
-                Poll::Ready(Ok(len))
-            }
-            Some((at, _)) => {
-                state.wake_at(*at, cx.waker().clone());
-                direction.reader = Some(cx.waker().clone());
-                Poll::Pending
-            }
-            None if closed => Poll::Ready(Ok(0)),
-            None => {
-                direction.reader = Some(cx.waker().clone());
-                Poll::Pending
-            }
-        }
-    }
-}
-
-impl futures_lite::AsyncWrite for SimulatedStream {
-    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
-        let mut state = lock(&self.state);
-        let mut direction = lock(&self.write);
-        if direction.reset || direction.closed {
-            return Poll::Ready(Err(io::ErrorKind::BrokenPipe.into()));
-        }
-        let len = bytes.len().min(WINDOW_BYTES - direction.in_flight_bytes.min(WINDOW_BYTES));
-        if len == 0 {
-            direction.writer = Some(cx.waker().clone());
-            return Poll::Pending;
-        }
-        // Streams are not reordered: a write arrives after all earlier ones.
-        let last_arrival = direction.in_flight.back().map_or(0, |write| write.0);
-        let link = state.link(self.local_host, self.peer_host);
-        let arrival = state.now + link.sample_stream_delay(&mut state.rng);
-        let arrival = arrival.max(last_arrival) + link.transmission_time(len);
-        direction.in_flight.push_back((arrival, bytes[..len].to_vec()));
-        direction.in_flight_bytes += len;
-        if let Some(reader) = direction.reader.take() {
-            state.wake_at(arrival, reader);
-        }
-        Poll::Ready(Ok(len))
-    }
-
-    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Poll::Ready(Ok(()))
-    }
-
-    fn poll_close(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        let mut direction = lock(&self.write);
-        direction.closed = true;
-        direction.wake();
-        Poll::Ready(Ok(()))
-    }
-}
-
-impl Drop for SimulatedStream {
-    fn drop(&mut self) {
-        let mut write = lock(&self.write);
-        write.closed = true;
-        write.wake();
-        drop(write);
-        let mut read = lock(&self.read);
-        read.reset = true;
-        read.wake();
-    }
-}
-
-struct SimulatedListener {
-    state: Arc<Mutex<State>>,
-    at: SocketAddr,
-    generation: u64,
-}
-
-impl Listener for SimulatedListener {
-    fn address(&self) -> SocketAddr {
-        self.at
-    }
-
-    fn accept(&self) -> BoxFuture<'_, io::Result<Box<dyn Stream>>> {
-        Box::pin(future::poll_fn(|cx| {
-            let mut state = lock(&self.state);
-            let listener = state.listeners.get_mut(&self.at);
-            let Some(listener) = listener.filter(|l| l.generation == self.generation) else {
-                return Poll::Pending;
-            };
-            if let Some(stream) = listener.pending.pop_front() {
-                return Poll::Ready(Ok(Box::new(stream) as Box<dyn Stream>));
-            }
-            listener.waker = Some(cx.waker().clone());
-            Poll::Pending
-        }))
-    }
-}
-
-impl Drop for SimulatedListener {
-    fn drop(&mut self) {
-        let mut state = lock(&self.state);
-        if state.listeners.get(&self.at).is_some_and(|l| l.generation == self.generation) {
-            state.listeners.remove(&self.at);
-        }
-    }
-}
-
-struct SimulatedSocket {
-    state: Arc<Mutex<State>>,
-    at: SocketAddr,
-    generation: u64,
-}
-
-impl Datagrams for SimulatedSocket {
-    fn address(&self) -> SocketAddr {
-        self.at
-    }
-
-    fn send<'a>(&'a self, bytes: &'a [u8], to: SocketAddr) -> BoxFuture<'a, io::Result<()>> {
-        Box::pin(async move {
-            let mut state = lock(&self.state);
-            let link = state.link(host_at(self.at), host_at(to));
-            if state.rng.random::<f64>() < link.loss || link.cut.is_some() {
-                return Ok(());
-            }
-            let copies = 1 + u32::from(state.rng.random::<f64>() < link.double);
-            for _ in 0..copies {
-                let delay = link.sample_delay(&mut state.rng) + link.transmission_time(bytes.len());
-                state.sequence += 1;
-                let key = (state.now + delay, state.sequence);
-                state.datagrams.insert(key, (self.at, to, bytes.to_vec()));
-            }
-            Ok(())
-        })
-    }
-
-    fn receive<'a>(&'a self, buffer: &'a mut [u8]) -> BoxFuture<'a, io::Result<(usize, SocketAddr)>> {
-        Box::pin(future::poll_fn(move |cx| {
-            let mut state = lock(&self.state);
-            let socket = state.sockets.get_mut(&self.at);
-            let Some(socket) = socket.filter(|s| s.generation == self.generation) else {
-                return Poll::Pending;
-            };
-            if let Some((from, bytes)) = socket.received.pop_front() {
-                let len = bytes.len().min(buffer.len());
-                buffer[..len].copy_from_slice(&bytes[..len]);
-                return Poll::Ready(Ok((len, from)));
-            }
-            socket.waker = Some(cx.waker().clone());
-            Poll::Pending
-        }))
-    }
-}
-
-impl Drop for SimulatedSocket {
-    fn drop(&mut self) {
-        let mut state = lock(&self.state);
-        if state.sockets.get(&self.at).is_some_and(|s| s.generation == self.generation) {
-            state.sockets.remove(&self.at);
-        }
-    }
-}
-
-// ---- files ----
-
-/// The files of one generation of a host.
-struct Disk {
-    state: Arc<Mutex<State>>,
-    host: u32,
-    generation: u64,
-}
-
-struct AppendFile {
-    state: Arc<Mutex<State>>,
-    host: u32,
-    generation: u64,
-    path: PathBuf,
-}
-
 /// Fails if this generation of the host was killed.
 fn check_running(state: &State, host: u32, generation: u64) -> io::Result<()> {
     match state.generations.get(&host) {
@@ -546,124 +289,6 @@
     }
 }
 
-impl Append for AppendFile {
-    fn append<'a>(&'a mut self, bytes: Vec<u8>) -> BoxFuture<'a, io::Result<()>> {
-        Box::pin(async move {
-            let mut state = lock(&self.state);
-            check_running(&state, self.host, self.generation)?;
-            state.disks.entry((self.host, self.path.clone())).or_default().unsynced.extend(bytes);
-            Ok(())
-        })
-    }
-
-    fn sync<'a>(&'a mut self) -> BoxFuture<'a, io::Result<()>> {
-        Box::pin(async move {
-            let mut state = lock(&self.state);
-            check_running(&state, self.host, self.generation)?;
-            let file = state.disks.entry((self.host, self.path.clone())).or_default();
-            let unsynced = std::mem::take(&mut file.unsynced);
-            file.synced.extend(unsynced);
-            Ok(())
-        })
-    }
-}
-
-impl Disk {
-    /// Calls `operation` with the state and the host's number, unless the host was killed.
-    fn with<T>(&self, operation: impl FnOnce(&mut State, u32) -> io::Result<T>) -> io::Result<T> {
-        let mut state = lock(&self.state);
-        check_running(&state, self.host, self.generation)?;
-        operation(&mut state, self.host)
-    }
-}
-
-impl Files for Disk {
-    fn append<'a>(&'a self, path: &'a Path, len: u64) -> BoxFuture<'a, io::Result<Box<dyn Append>>> {
-        Box::pin(async move {
-            self.with(|state, host| {
-                let file = state.disks.entry((host, path.to_owned())).or_default();
-                let unsynced = std::mem::take(&mut file.unsynced);
-                file.synced.extend(unsynced);
-                file.synced.truncate(usize::try_from(len).unwrap_or(usize::MAX));
-                Ok(())
-            })?;
-            let file = AppendFile {
-                state: self.state.clone(),
-                host: self.host,
-                generation: self.generation,
-                path: path.to_owned(),
-            };
-            Ok(Box::new(file) as Box<dyn Append>)
-        })
-    }
-
-    fn names<'a>(&'a self, folder: &'a Path) -> BoxFuture<'a, io::Result<Vec<String>>> {
-        Box::pin(async move {
-            self.with(|state, host| {
-                let files = state.disks.keys().filter(|k| k.0 == host && k.1.parent() == Some(folder));
-                Ok(files.filter_map(|k| Some(k.1.file_name()?.to_str()?.to_owned())).collect())
-            })
-        })
-    }
-
-    fn read<'a>(&'a self, path: &'a Path, max_len: u64) -> BoxFuture<'a, io::Result<Vec<u8>>> {
-        Box::pin(async move {
-            self.with(|state, host| {
-                let file = state.disks.get(&(host, path.to_owned())).ok_or(io::ErrorKind::NotFound)?;
-                let bytes = [&file.synced[..], &file.unsynced].concat();
-                if bytes.len() as u64 > max_len {
-                    return Err(io::ErrorKind::FileTooLarge.into());
-                }
-                Ok(bytes)
-            })
-        })
-    }
-
-    fn replace<'a>(&'a self, path: &'a Path, bytes: Vec<u8>) -> BoxFuture<'a, io::Result<()>> {
-        Box::pin(async move {
-            self.with(|state, host| {
-                state
-                    .disks
-                    .insert((host, path.to_owned()), FileContent { synced: bytes, unsynced: Vec::new() });
-                Ok(())
-            })
-        })
-    }
-
-    fn create<'a>(&'a self, path: &'a Path, bytes: Vec<u8>) -> BoxFuture<'a, io::Result<bool>> {
-        Box::pin(async move {
-            self.with(|state, host| {
-                let key = (host, path.to_owned());
-                let new = !state.disks.contains_key(&key);
-                if new {
-                    state.disks.insert(key, FileContent { synced: bytes, unsynced: Vec::new() });
-                }
-                Ok(new)
-            })
-        })
-    }
-
-    fn remove<'a>(&'a self, path: &'a Path) -> BoxFuture<'a, io::Result<()>> {
-        Box::pin(async move {
-            self.with(|state, host| {
-                state.disks.remove(&(host, path.to_owned()));
-                Ok(())
-            })
-        })
-    }
-
-    fn stamp<'a>(&'a self, path: &'a Path) -> BoxFuture<'a, io::Result<(Micros, u64)>> {
-        Box::pin(async move {
-            self.with(|state, host| {
-                let file = state.disks.get(&(host, path.to_owned())).ok_or(io::ErrorKind::NotFound)?;
-                Ok((0, (file.synced.len() + file.unsynced.len()) as u64))
-            })
-        })
-    }
-}
-
-// ---- the runtime ----
-
 impl Runtime for Host {
     fn now(&self) -> Micros {
         lock(&self.simulation.state).now + self.clock_ahead
--- a/crates/transport/src/pipe.rs
+++ b/crates/transport/src/pipe.rs
@@ -215,8 +215,8 @@
         if !reads {
             self.reading_since = None;
         } else {
-            let now = self.runtime.now();
-            self.reading_since.get_or_insert(now);
+            let runtime = &self.runtime;
+            self.reading_since.get_or_insert_with(|| runtime.now());
             if let Poll::Ready(turn) = self.poll_read(cx) {
                 return Poll::Ready(turn);
             }
