Timers, signals and sockets get a turn after each 32 polls of busy tasks

Seen: drains_are_kept_in_a_flood failed once in 4 runs: the drain took 3.704 s, and the kill may come after 3.7 s. Alone, in the debug build, three drains took 3.663, 3.706 and 3.702 s, although an ingress ends after 3.65 s at the latest.

Cause: the executor polls up to 200 tasks before its thread looks at timers and sockets and polls the main future. Since connections that flood yield, 200 polls are 200 shares of work, and the timer that ends the drain is late by all of them.

Change: System::run polls 32 tasks between two looks. Further threads (serve) run tasks as before.

--- a/crates/runtime/src/system.rs
+++ b/crates/runtime/src/system.rs
@@ -15,6 +15,10 @@
 /// Maximum number of connections that wait to be accepted; the system may lower it to its own limit.
 const BACKLOG: i32 = 4096;
 
+/// Number of polls of tasks after which [`System::run`] looks for events of timers and sockets. It limits how late a timer
+/// fires while all tasks are busy.
+const TASK_POLLS_PER_TURN: usize = 32;
+
 /// The operating system's runtime. Its tasks run in [`System::run`] and on the threads of [`System::threads`].
 pub struct System {
     executor: Executor<'static>,
@@ -31,9 +35,18 @@
         Arc::new(System { executor: Executor::new(), start: Instant::now(), epoch, files: Disk })
     }
 
-    /// Runs tasks on this thread until `main` completes.
+    /// Runs tasks on this thread until `main` completes. `main`, timers and sockets get a turn after every
+    /// [`TASK_POLLS_PER_TURN`] polls of tasks, however many tasks are ready.
     pub fn run<T>(self: &Arc<Self>, main: impl Future<Output = T>) -> T {
-        async_io::block_on(self.executor.run(main))
+        let tasks = async {
+            loop {
+                for _ in 0..TASK_POLLS_PER_TURN {
+                    self.executor.tick().await;
+                }
+                future::yield_now().await;
+            }
+        };
+        async_io::block_on(future::or(main, tasks))
     }
 
     /// Starts `count` threads that run tasks until the process exits.
@@ -42,7 +55,7 @@
             let system = self.clone();
             let thread = std::thread::Builder::new().name(format!("chalkgap-{n}"));
             // If the thread cannot be started, the other threads run its tasks.
-            let _ = thread.spawn(move || system.run(future::pending::<()>()));
+            let _ = thread.spawn(move || async_io::block_on(system.executor.run(future::pending::<()>())));
         }
     }
 }
