--- a/crates/runtime/src/system.rs
+++ b/crates/runtime/src/system.rs
@@ -35,8 +35,8 @@
         Arc::new(System { executor: Executor::new(), start: Instant::now(), epoch, files: Disk })
     }
 
-    /// Runs tasks on this thread until `main` completes. `main`, timers and sockets get a turn after every
-    /// [`TASK_POLLS_PER_TURN`] polls of tasks, however many tasks are ready.
+    /// Runs tasks on this thread until `main` completes. `main`, timers and sockets get a turn after a limited number of
+    /// polls of tasks, however many tasks are ready.
     pub fn run<T>(self: &Arc<Self>, main: impl Future<Output = T>) -> T {
         let tasks = async {
             loop {
