One budget in bytes for what is held for clients and backends

Callers saw: with a crowd of half commands, or of clients that read nothing, the process passed memory_mb and was killed; all open requests were lost.

Cause: limits counted connections, commands and events. Bytes of unparsed input (68 KB and the spare capacity of a buffer that doubles), bodies that a small request kept alive with the whole read buffer, replies copied into an output buffer and complete replies, whose reservation ended before the client had them, had no owner. And the C library keeps freed memory in the middle of its heap.

Change: MemoryBudget (transport), from memory_mb less a tenth, the resident size at the start, connections by descriptors and the customers' records. Client buffers may draw up to half of it, requests up to 70%, replies all of it, so what was accepted can end while nothing new is read. Capacity is counted. 512 bytes of each connection lie outside. Above its share a connection is not read; the largest and oldest half command (older than 0.3 s) is closed with -BUSY, and the timeout of a half command runs on. While requests are short of memory a connection has one at a time. Bodies and long values are no longer copied. Freed memory is returned by malloc_trim once 0.5 MB less is held (crate heap: the one call of the C library that needs unsafe; no crate offers it without). A log line names each owner when it is tight.

The test of the old reply budget keeps its bounds; it names the owner now.

--- a/crates/cli/tests/platform_memory/crowd.rs
+++ b/crates/cli/tests/platform_memory/crowd.rs
@@ -6,8 +6,7 @@
 use futures_lite::{future, AsyncReadExt, AsyncWriteExt};
 use std::io;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::thread::JoinHandle;
 
 /// Interval at which a slow client sends the next part of its command.
@@ -16,7 +15,7 @@
 const SLOW_PART_BYTES: usize = 1 << 10;
 /// Pause of a client before it returns.
 const RETURN_MICROS: u64 = 2_000;
-/// Interval at which a client that reads nothing looks whether its connection was closed, and the crowd whether it is to end.
+/// Interval at which a client that reads nothing looks whether its connection was closed.
 const CHECK_MICROS: u64 = 20_000;
 /// Number of whole submits that a client sends at once.
 const SUBMITS_AT_ONCE: u64 = 4;
@@ -40,6 +39,8 @@
     UnreadLongValues,
     /// Many queries with short values; nothing is read.
     UnreadShortValues,
+    /// One byte, then nothing.
+    OneByte,
 }
 
 /// The ids of the crowd's requests. Those of the usual clients are smaller.
@@ -52,13 +53,14 @@
 
 impl Behaviour {
     /// All of them.
-    pub const ALL: [Behaviour; 6] = [
+    pub const ALL: [Behaviour; 7] = [
         Behaviour::HalfSubmit,
         Behaviour::SlowSubmit,
         Behaviour::ShortAttributes,
         Behaviour::WholeSubmits,
         Behaviour::UnreadLongValues,
         Behaviour::UnreadShortValues,
+        Behaviour::OneByte,
     ];
 
     /// Plays one connection. Returns when the connection ends.
@@ -99,6 +101,7 @@
                 stream.write_all(&batch).await?;
                 return wait_for_close(runtime, stream).await;
             }
+            Behaviour::OneByte => stream.write_all(b"*").await?,
         }
         read_to_end(stream).await
     }
@@ -131,27 +134,31 @@
     Ok(())
 }
 
-/// A running crowd. It leaves when it is dropped.
+/// A running crowd. All its connections are closed when it is dropped.
 pub struct Crowd {
-    stop: Arc<AtomicBool>,
+    stop: async_channel::Sender<()>,
     thread: Option<JoinHandle<()>>,
 }
 
 impl Crowd {
     /// Starts `clients` clients, which have the behaviours in turn.
     pub fn start(address: SocketAddr, clients: usize, behaviours: &'static [Behaviour]) -> Crowd {
-        let stop = Arc::new(AtomicBool::new(false));
-        let is_over = stop.clone();
+        let (stop, stopped) = async_channel::bounded::<()>(1);
         let thread = std::thread::spawn(move || {
             let system = System::new();
             let runtime: Shared = system.clone();
-            for number in 0..clients {
-                let behaviour = behaviours[number % behaviours.len()];
-                system.spawn(Box::pin(run_client(runtime.clone(), address, behaviour))).detach();
-            }
+            let start = |number: usize| {
+                let client = run_client(runtime.clone(), address, behaviours[number % behaviours.len()]);
+                let stopped = stopped.clone();
+                let stop = async move {
+                    let _ = stopped.recv().await; // nothing is sent
+                };
+                system.spawn(Box::pin(future::or(stop, client)))
+            };
+            let clients: Vec<_> = (0..clients).map(start).collect();
             system.run(async {
-                while !is_over.load(Ordering::Relaxed) {
-                    runtime.sleep_until(runtime.now() + CHECK_MICROS).await;
+                for client in clients {
+                    client.await;
                 }
             });
         });
@@ -170,7 +177,7 @@
 
 impl Drop for Crowd {
     fn drop(&mut self) {
-        self.stop.store(true, Ordering::Relaxed);
+        self.stop.close();
         if let Some(thread) = self.thread.take() {
             let _ = thread.join();
         }
--- a/crates/cli/tests/platform_memory/main.rs
+++ b/crates/cli/tests/platform_memory/main.rs
@@ -227,6 +227,12 @@
     check_crowd(LEAST, &[Behaviour::UnreadShortValues]);
 }
 
+/// Connections that hold next to nothing.
+#[test]
+fn connections_of_a_crowd_stay_below_the_memory_limit() {
+    check_crowd(LEAST, &[Behaviour::OneByte]);
+}
+
 /// All of it at once, at each limit of memory and descriptors that the pages name.
 #[test]
 fn a_mixed_crowd_stays_below_each_memory_limit() {
--- a/crates/platform/src/backend/connection.rs
+++ b/crates/platform/src/backend/connection.rs
@@ -4,12 +4,13 @@
 use super::exchange::Exchange;
 use super::{ConnectionCommand, ConnectionContext};
 use crate::backend_reply::BackendReply;
+use crate::memory_plan::BACKEND_CONNECTION_BYTES;
 use crate::request::ForwardedCommand;
 use async_channel::Receiver;
-use bytes::BytesMut;
 use chalkgap::frontend::{AttemptResult, DriverEvent, OutboundAttempt};
 use chalkgap_core::Outcome;
 use chalkgap_runtime::{Alarm, Micros, Stream};
+use chalkgap_transport::MemoryOwner;
 use futures_lite::{future, AsyncRead, Stream as _};
 use std::net::SocketAddr;
 use std::pin::Pin;
@@ -25,6 +26,7 @@
     address: SocketAddr,
     commands: Receiver<ConnectionCommand>,
 ) {
+    let _memory = context.settings.memory.draw(MemoryOwner::Connections, BACKEND_CONNECTION_BYTES);
     let mut connection = Connection {
         number,
         address,
@@ -163,8 +165,7 @@
             // No byte was written, so the connection can be used for the next attempt.
             return BackendReply { reusable: true, ..BackendReply::without_value(Outcome::NotSent) };
         }
-        let mut request = BytesMut::with_capacity(256);
-        attempt.work.encode(&mut request, remaining_micros.div_ceil(1000));
+        let request = attempt.work.to_unwritten(remaining_micros.div_ceil(1000));
         let Some(stream) = &mut self.stream else {
             return BackendReply::without_value(Outcome::ConnectFailed);
         };
--- a/crates/platform/src/backend/exchange.rs
+++ b/crates/platform/src/backend/exchange.rs
@@ -2,13 +2,13 @@
 
 use super::{ConnectionCommand, ConnectionContext};
 use crate::backend_reply::{decode_backend_reply, BackendReply};
-use crate::memory_budget::MemoryReservation;
-use crate::request::ForwardedCommand;
+use crate::request::{ForwardedCommand, UnwrittenCommand};
 use async_channel::Receiver;
-use bytes::{Buf, BytesMut};
+use bytes::BytesMut;
 use chalkgap::frontend::OutboundAttempt;
 use chalkgap_core::Outcome;
 use chalkgap_runtime::{Alarm, Stream};
+use chalkgap_transport::{MemoryOwner, MemoryReservation};
 use futures_lite::{AsyncRead, AsyncWrite, Stream as _};
 use std::pin::Pin;
 use std::task::{Context, Poll};
@@ -23,18 +23,17 @@
     commands: &'a mut Pin<Box<Receiver<ConnectionCommand>>>,
     alarm: &'a mut Alarm,
     /// The part of the request that has not been written yet.
-    unwritten: BytesMut,
-    /// Length of the whole request.
-    request_bytes: usize,
+    unwritten: UnwrittenCommand,
     received: BytesMut,
-    memory: MemoryReservation,
+    /// The memory of `received`; `None` once the reply is complete.
+    memory: Option<MemoryReservation>,
 }
 
 impl<'a> Exchange<'a> {
     pub(super) fn new(
         context: &'a ConnectionContext,
         attempt: &'a OutboundAttempt<ForwardedCommand>,
-        request: BytesMut,
+        request: UnwrittenCommand,
         stream: &'a mut Box<dyn Stream>,
         commands: &'a mut Pin<Box<Receiver<ConnectionCommand>>>,
         alarm: &'a mut Alarm,
@@ -45,10 +44,9 @@
             stream,
             commands,
             alarm,
-            request_bytes: request.len(),
             unwritten: request,
             received: BytesMut::new(),
-            memory: context.settings.reply_memory.reservation(),
+            memory: Some(context.settings.memory.reservation(MemoryOwner::Replies)),
         }
     }
 
@@ -90,8 +88,8 @@
                     }
                 }
                 Poll::Ready(Some(ConnectionCommand::Withdraw { id, attempt })) => {
-                    let nothing_written = self.unwritten.len() == self.request_bytes;
-                    if (id, attempt) == (self.attempt.id, self.attempt.attempt) && nothing_written {
+                    let is_unwritten = self.unwritten.is_untouched();
+                    if (id, attempt) == (self.attempt.id, self.attempt.attempt) && is_unwritten {
                         return Poll::Ready(());
                     }
                 }
@@ -104,7 +102,7 @@
     /// Writes as much of the request as the stream accepts. Ready only if the write fails.
     fn poll_write(&mut self, cx: &mut Context<'_>) -> Poll<BackendReply> {
         while !self.unwritten.is_empty() {
-            match Pin::new(&mut *self.stream).poll_write(cx, &self.unwritten) {
+            match Pin::new(&mut *self.stream).poll_write(cx, self.unwritten.next()) {
                 Poll::Ready(Ok(count)) if count > 0 => self.unwritten.advance(count),
                 Poll::Ready(_) => return Poll::Ready(BackendReply::without_value(Outcome::Reset)),
                 Poll::Pending => break,
@@ -121,15 +119,33 @@
                 Poll::Ready(_) => return Poll::Ready(BackendReply::without_value(Outcome::Reset)),
                 Poll::Pending => return Poll::Pending,
             };
-            if !self.memory.grow(count) {
+            if !self.reserve(count) {
                 // The request has run, but there is not enough memory for its reply.
                 return Poll::Ready(BackendReply::without_value(Outcome::Reset));
             }
             self.received.extend_from_slice(&buffer[..count]);
             let fields = &self.context.settings.load_report_fields;
-            if let Some(reply) = decode_backend_reply(&mut self.received, fields) {
+            if let Some(mut reply) = decode_backend_reply(&mut self.received, fields) {
+                if let Some(memory) = self.memory.take().filter(|_| !reply.value.is_empty()) {
+                    reply.value = memory.attach(reply.value);
+                }
                 return Poll::Ready(reply);
             }
         }
     }
+
+    /// Makes room for `count` more bytes of the reply. Returns false if there is not enough memory.
+    fn reserve(&mut self, count: usize) -> bool {
+        let required = self.received.len() + count;
+        if required <= self.received.capacity() {
+            return true;
+        }
+        let capacity = required.max(2 * self.received.capacity());
+        let missing = capacity - self.received.capacity();
+        if !self.memory.as_mut().is_some_and(|memory| memory.grow(missing)) {
+            return false;
+        }
+        self.received.reserve(capacity - self.received.len());
+        true
+    }
 }
--- a/crates/platform/src/backend/mod.rs
+++ b/crates/platform/src/backend/mod.rs
@@ -6,7 +6,6 @@
 mod connection;
 mod exchange;
 
-use crate::memory_budget::MemoryBudget;
 use crate::pool::{Checkout, Pool};
 use crate::request::ForwardedCommand;
 use acknowledgements::Acknowledgements;
@@ -14,7 +13,7 @@
 use chalkgap::frontend::{DriverEvent, OutboundAttempt, Upstream};
 use chalkgap_core::{BackendId, RequestId};
 use chalkgap_runtime::{Micros, Shared};
-use chalkgap_transport::while_alive;
+use chalkgap_transport::{while_alive, MemoryBudget};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -59,8 +58,8 @@
     /// How long a connection may be idle before it is closed. It must be shorter than the backend's own limit, because a
     /// request that is sent while the backend closes the connection may have run.
     pub idle_timeout: Micros,
-    /// Limits the memory of partly received replies, over all connections.
-    pub reply_memory: Arc<MemoryBudget>,
+    /// Limits the memory of replies.
+    pub memory: Arc<MemoryBudget>,
 }
 
 /// All connections to backends.
--- a/crates/platform/src/backend_reply.rs
+++ b/crates/platform/src/backend_reply.rs
@@ -6,7 +6,7 @@
 
 /// Limits of a reply, which is an array of a value, an element that is ignored, and a load report. The protocol allows
 /// values of up to 64 KiB. As backends exceed that, longer values are accepted as well and passed to the client. The memory of
-/// all partly received replies is limited by [`MemoryBudget`](crate::memory_budget::MemoryBudget).
+/// all replies is limited by a [`MemoryBudget`](chalkgap_transport::MemoryBudget).
 pub const REPLY_LIMITS: Limits = Limits {
     max_elements: 4,
     max_depth: 2,
--- a/crates/platform/src/client_connection.rs
+++ b/crates/platform/src/client_connection.rs
@@ -2,13 +2,14 @@
 //! the driver's answers to the client.
 
 use crate::frontend::{FrontendContext, LINGER_MICROS};
+use crate::memory_plan::CLIENT_CONNECTION_BYTES;
 use crate::session::{IncomingRequest, Session, MAX_PENDING_COMMANDS};
 use async_channel::Sender;
 use chalkgap::frontend::{Answer, DriverEvent, Permit, RequestEnd, Response};
 use chalkgap::telemetry::add;
 use chalkgap_core::RequestId;
 use chalkgap_runtime::{Micros, Stream};
-use chalkgap_transport::{Pipe, Turn};
+use chalkgap_transport::{MemoryOwner, Pipe, Turn};
 use std::collections::HashMap;
 use std::sync::atomic::Ordering;
 
@@ -87,9 +88,11 @@
 impl ClientConnection {
     /// Serves a connection until it is closed.
     pub(crate) async fn serve(context: FrontendContext, stream: Box<dyn Stream>, permit: Permit) {
+        let _memory = context.memory.draw(MemoryOwner::Connections, CLIENT_CONNECTION_BYTES);
         let (response_sender, responses) = async_channel::bounded(MAX_PENDING_COMMANDS);
-        let session = Session::new(context.parser.clone());
-        let mut pipe = Pipe::new(context.runtime.clone(), stream, session, responses, permit.signal.clone());
+        let session = Session::new(context.parser.clone()).with_memory(context.memory.clone());
+        let mut pipe = Pipe::new(context.runtime.clone(), stream, session, responses, permit.signal.clone())
+            .with_memory(context.memory.clone());
         let mut connection = ClientConnection {
             admitted_at: context.runtime.now(),
             context,
@@ -204,7 +207,8 @@
             pipe.conn.stop_reading();
         } else if is_due(deadlines.partial_command) || is_due(deadlines.first_command) {
             add(&self.context.telemetry.too_slow);
-            pipe.conn.fail("ERR no whole command in time");
+            let error = if pipe.awaits_memory() { "BUSY" } else { "ERR no whole command in time" };
+            pipe.conn.fail(error);
         }
         ClientState::Connected
     }
--- a/crates/platform/src/frontend.rs
+++ b/crates/platform/src/frontend.rs
@@ -8,7 +8,7 @@
 use chalkgap::telemetry::Telemetry;
 use chalkgap_core::{CustomerId, RequestId};
 use chalkgap_runtime::{BoxFuture, Micros, Shared, Stream};
-use chalkgap_transport::linger;
+use chalkgap_transport::{linger, MemoryBudget};
 use futures_lite::{future, AsyncWriteExt};
 use std::collections::HashSet;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -26,6 +26,7 @@
     pub telemetry: Arc<Telemetry>,
     pub driver: Sender<DriverEvent<ForwardedCommand>>,
     pub parser: Arc<RequestParser>,
+    pub memory: Arc<MemoryBudget>,
     /// The driver's id for the next request. Clients may reuse their ids, so the driver has its own: a timer of an earlier
     /// request must not affect a later one.
     pub next_request_id: Arc<AtomicU64>,
--- a/crates/platform/src/ingress.rs
+++ b/crates/platform/src/ingress.rs
@@ -7,7 +7,8 @@
 use crate::endpoint_set::{EndpointChange, EndpointSet};
 use crate::frontend::{FrontendContext, RespFrontend};
 use crate::gossip::{self, OutgoingGossip};
-use crate::memory_budget::MemoryBudget;
+use crate::memory_plan::{budget_bytes, FixedMemory};
+use crate::memory_watch;
 use crate::request::ForwardedCommand;
 use crate::request_parser::RequestParser;
 use crate::shutdown::ShutdownTimeouts;
@@ -17,7 +18,7 @@
 use chalkgap_admission::BudgetError;
 use chalkgap_core::Gateway;
 use chalkgap_runtime::{BoxFuture, Datagrams, Micros, Shared};
-use chalkgap_transport::while_alive;
+use chalkgap_transport::{while_alive, MemoryBudget};
 use futures_lite::future;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
@@ -31,9 +32,6 @@
 const ADDRESS_QUEUE_CAPACITY: usize = 1;
 /// How long a starting ingress waits for the first list from discovery before it accepts clients.
 const FIRST_LIST_TIMEOUT_MICROS: Micros = 500_000;
-/// Partly received replies may use the process's memory limit divided by this. Complete replies are held a second time while
-/// they are sent to clients.
-const REPLY_MEMORY_DIVISOR: u64 = 5;
 /// Interval at which a graceful shutdown checks whether all connections have been closed.
 const DRAIN_CHECK_MICROS: Micros = 5000;
 
@@ -76,6 +74,8 @@
     config: Config,
     runtime: Shared,
     telemetry: Arc<Telemetry>,
+    /// Limits what is held for clients, backends and discovery.
+    memory: Arc<MemoryBudget>,
     driver: Sender<DriverEvent<ForwardedCommand>>,
     /// Closed when the ingress is dropped.
     killed: Receiver<()>,
@@ -113,7 +113,8 @@
         let (accept, drained) = async_channel::bounded(1);
         let (kill, killed) = async_channel::bounded(1);
         let (discovery_addresses, new_addresses) = async_channel::bounded(ADDRESS_QUEUE_CAPACITY);
-        let startup = Startup { config, runtime, telemetry, driver, killed };
+        let memory = memory_budget(&config, &runtime);
+        let startup = Startup { config, runtime, telemetry, memory, driver, killed };
 
         let outgoing_gossip = gossip_socket.map(|socket| startup.start_gossip(socket));
         let endpoints = startup.start_driver(events, outgoing_gossip);
@@ -188,6 +189,23 @@
     }
 }
 
+/// Creates the budget of the memory that is held for peers.
+fn memory_budget(config: &Config, runtime: &Shared) -> Arc<MemoryBudget> {
+    let fixed = FixedMemory {
+        resident_bytes: runtime.resident_bytes(),
+        descriptors: config.descriptors,
+        max_customers: config.deployment.settings.max_customers,
+    };
+    let bytes = budget_bytes(config.memory_bytes, &fixed);
+    tracing::info!(
+        limit = config.memory_bytes,
+        resident = fixed.resident_bytes,
+        for_peers = bytes,
+        "memory divided"
+    );
+    MemoryBudget::new(bytes)
+}
+
 /// Binds the gossip socket. Returns `None` if the settings disable gossip or the configuration has no address for it.
 fn bind_gossip(config: &Config, runtime: &Shared) -> Result<Option<Arc<dyn Datagrams>>, StartError> {
     if !config.deployment.settings.limits.gossip {
@@ -259,7 +277,7 @@
             connect_timeout: deployment.connect_timeout,
             // Well before the backend closes the connection: a request that is sent while the backend closes it may have run.
             idle_timeout: deployment.keepalive * 6 / 10,
-            reply_memory: MemoryBudget::new((self.config.memory_bytes / REPLY_MEMORY_DIVISOR) as usize),
+            memory: self.memory.clone(),
         };
         let max_connections = descriptor_split(self.config.descriptors).nodes as usize;
         let runtime = self.runtime.clone();
@@ -315,11 +333,13 @@
             telemetry: self.telemetry.clone(),
             driver: self.driver.clone(),
             parser: Arc::new(RequestParser::new(&self.config.deployment)),
+            memory: self.memory.clone(),
             next_request_id: Arc::new(AtomicU64::new(1)),
             open_ids: Arc::default(),
             fail_pending_at,
         };
         self.spawn(Box::pin(acceptor.gate.clone().run()));
+        self.spawn(Box::pin(memory_watch::run(self.runtime.clone(), self.memory.clone())));
         self.spawn(Box::pin(listen(RespFrontend, context, acceptor, listener)));
         Ok(address)
     }
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -5,7 +5,7 @@
 //! - [`Ingress`]: a running ingress
 //! - [`config`]: the configuration that the platform provides
 //! - [`session`], [`request`], [`request_parser`]: client connections and their commands
-//! - [`pool`], [`backend_reply`], [`memory_budget`]: connections to backends and their replies
+//! - [`pool`], [`backend_reply`]: connections to backends and their replies
 //! - [`discovery`], [`discovery_client`]: requests to the discovery service
 //! - [`endpoint_list`], [`endpoint_set`]: the lists of backends, and which of them are applied
 //! - [`shutdown`]: the timeouts of a graceful shutdown
@@ -13,6 +13,7 @@
 mod backend;
 pub mod backend_reply;
 mod client_connection;
+mod command_buffer;
 pub mod config;
 mod connection_limits;
 pub mod discovery;
@@ -22,8 +23,10 @@
 mod frontend;
 mod gossip;
 mod ingress;
-pub mod memory_budget;
+mod memory_plan;
+mod memory_watch;
 pub mod pool;
+mod reply_queue;
 pub mod request;
 pub mod request_parser;
 pub mod session;
--- a/crates/platform/src/request.rs
+++ b/crates/platform/src/request.rs
@@ -1,8 +1,8 @@
 //! A client's request, and the command that is forwarded to backends.
 
-use bytes::{Bytes, BytesMut};
+use bytes::{Buf, Bytes, BytesMut};
 use chalkgap_core::Micros;
-use chalkgap_resp::{put_array_header, put_bulk};
+use chalkgap_resp::{put_array_header, put_bulk, put_bulk_header};
 use std::io::Write;
 use std::ops::Range;
 use std::sync::Arc;
@@ -12,6 +12,9 @@
 /// Maximum length of a number in the attribute list, in characters.
 pub(crate) const MAX_DIGITS: usize = 15;
 
+/// A body of at least this length is not copied when the command is forwarded.
+const MIN_LONG_BODY_BYTES: usize = 4 << 10;
+
 /// Why a command is not a valid request. The error text is sent to the client.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum InvalidRequest {
@@ -95,9 +98,14 @@
 
     /// Writes the command, with `remaining_millis` in place of the client's deadline.
     pub fn encode(&self, out: &mut BytesMut, remaining_millis: u64) {
+        put_array_header(out, self.0.arguments.len());
+        self.encode_arguments(out, self.0.arguments.len(), remaining_millis);
+    }
+
+    /// Writes the first `count` arguments.
+    fn encode_arguments(&self, out: &mut BytesMut, count: usize, remaining_millis: u64) {
         let CommandParts { arguments, deadline } = &*self.0;
-        put_array_header(out, arguments.len());
-        for (index, argument) in arguments.iter().enumerate() {
+        for (index, argument) in arguments[..count].iter().enumerate() {
             if index != ATTRIBUTES_INDEX {
                 put_bulk(out, argument);
                 continue;
@@ -109,4 +117,56 @@
             put_bulk(out, &attributes);
         }
     }
+
+    /// Returns the command as [`encode`](ForwardedCommand::encode) writes it, without a copy of a long body.
+    pub(crate) fn to_unwritten(&self, remaining_millis: u64) -> UnwrittenCommand {
+        let arguments = &self.0.arguments;
+        let mut first = BytesMut::with_capacity(256);
+        let body = match arguments.last() {
+            Some(body) if arguments.len() > ATTRIBUTES_INDEX + 1 && body.len() >= MIN_LONG_BODY_BYTES => body,
+            _ => {
+                self.encode(&mut first, remaining_millis);
+                return UnwrittenCommand::new([first.freeze(), Bytes::new(), Bytes::new()]);
+            }
+        };
+        put_array_header(&mut first, arguments.len());
+        self.encode_arguments(&mut first, arguments.len() - 1, remaining_millis);
+        put_bulk_header(&mut first, body.len());
+        UnwrittenCommand::new([first.freeze(), body.clone(), Bytes::from_static(b"\r\n")])
+    }
+}
+
+/// The bytes of a command that have not been written to a backend yet.
+pub(crate) struct UnwrittenCommand {
+    parts: [Bytes; 3],
+    is_untouched: bool,
+}
+
+impl UnwrittenCommand {
+    fn new(parts: [Bytes; 3]) -> Self {
+        UnwrittenCommand { parts, is_untouched: true }
+    }
+
+    /// Whether no byte has been written.
+    pub(crate) fn is_untouched(&self) -> bool {
+        self.is_untouched
+    }
+
+    /// Whether all bytes have been written.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.parts.iter().all(Bytes::is_empty)
+    }
+
+    /// Returns the bytes that are written next.
+    pub(crate) fn next(&self) -> &[u8] {
+        self.parts.iter().find(|part| !part.is_empty()).map_or(&[], |part| part)
+    }
+
+    /// Removes `count` bytes of [`next`](UnwrittenCommand::next), which have been written.
+    pub(crate) fn advance(&mut self, count: usize) {
+        self.is_untouched = false;
+        if let Some(part) = self.parts.iter_mut().find(|part| !part.is_empty()) {
+            part.advance(count);
+        }
+    }
 }
--- a/crates/platform/src/session.rs
+++ b/crates/platform/src/session.rs
@@ -1,13 +1,15 @@
 //! The state machine of one client connection, without I/O. It parses received bytes into requests and encodes the replies in
 //! the order of the commands.
 
+use crate::command_buffer::CommandBuffer;
+use crate::reply_queue::ReplyQueue;
 use crate::request::{InvalidRequest, Request};
 use crate::request_parser::RequestParser;
 use bytes::{Bytes, BytesMut};
 use chalkgap::frontend::Answer;
 use chalkgap_core::Micros;
-use chalkgap_resp::{decode_command, put_bulk, put_error, Command, Limits};
-use chalkgap_transport::Machine;
+use chalkgap_resp::{put_error, Command, Limits};
+use chalkgap_transport::{Machine, MemoryBudget, MemoryOwner};
 use std::collections::VecDeque;
 use std::convert::Infallible;
 use std::sync::Arc;
@@ -49,8 +51,9 @@
 /// The protocol state of a client connection.
 pub struct Session {
     parser: Arc<RequestParser>,
-    input: BytesMut,
-    output: BytesMut,
+    memory: Arc<MemoryBudget>,
+    input: CommandBuffer,
+    replies: ReplyQueue,
     /// Replies that have not been encoded yet, in the order of the commands. The first one has the token `first_token`.
     slots: VecDeque<ReplySlot>,
     first_token: u32,
@@ -73,19 +76,17 @@
     out.freeze()
 }
 
-fn encode_answer(out: &mut BytesMut, answer: &Answer) {
-    match answer {
-        Answer::Served { body, .. } => {
-            out.reserve(body.len() + 16);
-            put_bulk(out, body);
-        }
-        Answer::Rejected { retry_after: 0 } => put_error(out, "BUSY"),
+fn push_answer(replies: &mut ReplyQueue, answer: Answer) {
+    let error = match answer {
+        Answer::Served { body, .. } => return replies.push_value(body),
+        Answer::Rejected { retry_after: 0 } => "BUSY",
         // Rounded up: a client that returns too early is rejected again.
-        Answer::Rejected { retry_after } => put_error(out, &format!("BUSY {}", retry_after.div_ceil(1000))),
-        Answer::Failed { late: true } => put_error(out, "ERR no answer in time"),
-        Answer::Failed { late: false } => put_error(out, "ERR failed, it may have run"),
-        Answer::ClientGone => {}
-    }
+        Answer::Rejected { retry_after } => &format!("BUSY {}", retry_after.div_ceil(1000)),
+        Answer::Failed { late: true } => "ERR no answer in time",
+        Answer::Failed { late: false } => "ERR failed, it may have run",
+        Answer::ClientGone => return,
+    };
+    replies.push(|out| put_error(out, error));
 }
 
 impl Session {
@@ -93,8 +94,9 @@
     pub fn new(parser: Arc<RequestParser>) -> Self {
         Session {
             parser,
-            input: BytesMut::new(),
-            output: BytesMut::new(),
+            memory: MemoryBudget::unlimited(),
+            input: CommandBuffer::default(),
+            replies: ReplyQueue::default(),
             slots: VecDeque::new(),
             first_token: 0,
             phase: ReadPhase::Open,
@@ -102,12 +104,28 @@
         }
     }
 
+    /// Counts the memory of commands in a budget, instead of without a limit.
+    #[must_use]
+    pub fn with_memory(mut self, memory: Arc<MemoryBudget>) -> Self {
+        self.memory = memory;
+        self
+    }
+
+    /// Returns how many commands may await their replies. While memory is short a connection has one at a time.
+    fn max_pending_commands(&self) -> usize {
+        if self.memory.is_exhausted_for(MemoryOwner::Requests) {
+            1
+        } else {
+            MAX_PENDING_COMMANDS
+        }
+    }
+
     /// Parses buffered commands up to the next request, which it returns. Answers commands that need no backend.
     ///
     /// `reserve_id` is called with the id of each valid request. It returns false if another open request has the same id.
     pub fn next_request(&mut self, mut reserve_id: impl FnMut(u64) -> bool) -> Option<IncomingRequest> {
-        while self.phase != ReadPhase::Stopped && self.slots.len() < MAX_PENDING_COMMANDS {
-            let command = match decode_command(&mut self.input, &COMMAND_LIMITS) {
+        while self.phase != ReadPhase::Stopped && self.slots.len() < self.max_pending_commands() {
+            let command = match self.input.take_command(&COMMAND_LIMITS, &self.memory) {
                 Ok(Some(command)) => command,
                 Ok(None) => break,
                 Err(error) => {
@@ -126,9 +144,6 @@
             }
             self.flush(); // the reply holds no slot if no request is pending before it
         }
-        if self.input.is_empty() {
-            self.input = BytesMut::new(); // an idle connection holds no buffer
-        }
         None
     }
 
@@ -183,7 +198,7 @@
     /// Stops reading and discards the unparsed input. Pending requests are still answered.
     pub fn stop_reading(&mut self) {
         self.phase = ReadPhase::Stopped;
-        self.input = BytesMut::new();
+        self.input.clear();
     }
 
     /// Whether the session has stopped reading; it does not start again.
@@ -201,7 +216,7 @@
     /// Whether the caller should read bytes from the client now.
     pub fn wants_input(&self) -> bool {
         self.phase != ReadPhase::Stopped
-            && self.slots.len() < MAX_PENDING_COMMANDS
+            && self.slots.len() < self.max_pending_commands()
             && self.input.len() < MAX_BUFFERED_BYTES
     }
 
@@ -240,13 +255,12 @@
 
     /// Encodes the replies that are ready, up to the first pending request.
     fn flush(&mut self) {
-        while let Some(slot) = self.slots.front() {
-            match slot {
-                ReplySlot::Pending(_) => return,
-                ReplySlot::Encoded(bytes) => self.output.extend_from_slice(bytes),
-                ReplySlot::Answered(answer) => encode_answer(&mut self.output, answer),
+        while !matches!(self.slots.front(), None | Some(ReplySlot::Pending(_))) {
+            match self.slots.pop_front() {
+                Some(ReplySlot::Encoded(bytes)) => self.replies.push(|out| out.extend_from_slice(&bytes)),
+                Some(ReplySlot::Answered(answer)) => push_answer(&mut self.replies, answer),
+                Some(ReplySlot::Pending(_)) | None => {}
             }
-            self.slots.pop_front();
             self.first_token = self.first_token.wrapping_add(1);
         }
     }
@@ -257,12 +271,43 @@
 
     fn receive(&mut self, _: Micros, bytes: &[u8]) -> Result<(), Infallible> {
         if self.phase != ReadPhase::Stopped {
-            self.input.extend_from_slice(bytes);
+            self.input.receive(bytes);
         }
         Ok(())
     }
 
     fn output(&mut self) -> &mut BytesMut {
-        &mut self.output
+        self.replies.output()
+    }
+
+    fn unwritten_bytes(&mut self) -> usize {
+        self.replies.unwritten_bytes()
+    }
+
+    fn on_output_written(&mut self) {
+        self.replies.release_unused();
+    }
+
+    fn held_bytes(&self) -> usize {
+        self.input.capacity() + self.replies.capacity()
+    }
+
+    fn held_bytes_after(&self, count: usize) -> usize {
+        self.input.capacity_after(count) + self.replies.capacity()
+    }
+
+    fn unfinished_bytes(&self) -> usize {
+        if self.is_idle() && self.phase != ReadPhase::Stopped {
+            self.input.len()
+        } else {
+            0
+        }
+    }
+
+    fn reclaim(&mut self) -> Result<(), Infallible> {
+        if self.unfinished_bytes() > 0 {
+            self.fail("BUSY");
+        }
+        Ok(())
     }
 }
--- a/crates/platform/tests/state_machines/backend_replies.rs
+++ b/crates/platform/tests/state_machines/backend_replies.rs
@@ -3,7 +3,7 @@
 use bytes::BytesMut;
 use chalkgap_core::Outcome;
 use chalkgap_platform::backend_reply::decode_backend_reply;
-use chalkgap_platform::memory_budget::MemoryBudget;
+use chalkgap_transport::{MemoryBudget, MemoryOwner};
 
 /// Decodes a reply. Returns its outcome, its value, the queue length in its load report, and whether the connection is reusable.
 pub(crate) fn decode(bytes: &[u8]) -> Option<(Outcome, String, Option<f64>, bool)> {
@@ -56,8 +56,8 @@
     let bytes = format!("*3\r\n${}\r\n{body}\r\n$-1\r\n$-1\r\n", body.len());
     assert_eq!(decode(bytes.as_bytes()), Some((Outcome::Ok, body, None, true)));
     let budget = MemoryBudget::new(100);
-    let mut first = budget.reservation();
-    let mut second = budget.reservation();
+    let mut first = budget.reservation(MemoryOwner::Replies);
+    let mut second = budget.reservation(MemoryOwner::Replies);
     assert!(first.grow(60) && second.grow(40) && !second.grow(1) && !first.grow(usize::MAX));
     drop(first);
     assert!(second.grow(60) && !second.grow(1));
--- a/crates/resp/src/decoder.rs
+++ b/crates/resp/src/decoder.rs
@@ -64,6 +64,24 @@
     }))
 }
 
+/// Where a command is in a buffer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CommandPosition {
+    /// The length of the command, which begins at the first byte.
+    pub length: usize,
+    /// The ranges of its arguments.
+    pub arguments: Vec<Range<usize>>,
+}
+
+/// Finds the command at the front of a buffer. Returns `None` if more bytes are needed.
+///
+/// # Errors
+/// Returns a [`DecodeError`] if the bytes are not a command within `limits`.
+pub fn find_command(buffer: &[u8], limits: &Limits) -> Result<Option<CommandPosition>, DecodeError> {
+    let found = find_item(buffer, limits, |cursor| cursor.arguments())?;
+    Ok(found.map(|(length, arguments)| CommandPosition { length, arguments }))
+}
+
 /// Takes a reply off the front of a buffer. Returns `None` if more bytes are needed.
 ///
 /// # Errors
@@ -80,6 +98,16 @@
     limits: &Limits,
     decode: impl FnOnce(&mut Cursor<'_>) -> Result<T, Stop>,
 ) -> Result<Option<(Bytes, T)>, DecodeError> {
+    let found = find_item(buffer, limits, decode)?;
+    Ok(found.map(|(length, decoded)| (buffer.split_to(length).freeze(), decoded)))
+}
+
+/// Finds the item at the front of a buffer if it is complete. Returns its length and the result of `decode`.
+fn find_item<T>(
+    buffer: &[u8],
+    limits: &Limits,
+    decode: impl FnOnce(&mut Cursor<'_>) -> Result<T, Stop>,
+) -> Result<Option<(usize, T)>, DecodeError> {
     let too_long = DecodeError::ItemTooLong { max: limits.max_item_bytes };
     let mut cursor = Cursor { bytes: buffer, position: 0, limits };
     let decoded = match decode(&mut cursor) {
@@ -93,7 +121,7 @@
     if end > limits.max_item_bytes {
         return Err(too_long);
     }
-    Ok(Some((buffer.split_to(end).freeze(), decoded)))
+    Ok(Some((end, decoded)))
 }
 
 /// A read position in an item.
--- a/crates/resp/src/encoder.rs
+++ b/crates/resp/src/encoder.rs
@@ -35,9 +35,14 @@
     put_header(out, b'*', elements);
 }
 
+/// Writes the header of a bulk string. The caller must write `length` bytes and CR LF after it.
+pub fn put_bulk_header(out: &mut BytesMut, length: usize) {
+    put_header(out, b'$', length);
+}
+
 /// Writes a bulk string.
 pub fn put_bulk(out: &mut BytesMut, bytes: &[u8]) {
-    put_header(out, b'$', bytes.len());
+    put_bulk_header(out, bytes.len());
     out.extend_from_slice(bytes);
     out.extend_from_slice(b"\r\n");
 }
--- a/crates/runtime/src/faulty_runtime.rs
+++ b/crates/runtime/src/faulty_runtime.rs
@@ -98,4 +98,12 @@
     fn descriptors(&self) -> u64 {
         self.inner.descriptors()
     }
+
+    fn resident_bytes(&self) -> u64 {
+        self.inner.resident_bytes()
+    }
+
+    fn release_free_memory(&self) {
+        self.inner.release_free_memory();
+    }
 }
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -143,6 +143,12 @@
     fn random(&self) -> u64;
     /// Returns the current limit on the number of file descriptors that the process may have open.
     fn descriptors(&self) -> u64;
+    /// Returns the resident memory of the process in bytes; 0 if it is not known.
+    fn resident_bytes(&self) -> u64 {
+        0
+    }
+    /// Returns memory that was freed to the system.
+    fn release_free_memory(&self) {}
 }
 
 /// A timer for a deadline that changes often. It starts a new sleep only if the current one ended or would end too late.
--- a/crates/runtime/src/system.rs
+++ b/crates/runtime/src/system.rs
@@ -394,4 +394,15 @@
         // `None` is no limit.
         rustix::process::getrlimit(rustix::process::Resource::Nofile).current.unwrap_or(u64::MAX)
     }
+
+    fn resident_bytes(&self) -> u64 {
+        // The second number is that of resident pages (proc_pid_statm(5)). A system without the file does not tell.
+        let statm = fs::read_to_string("/proc/self/statm").unwrap_or_default();
+        let pages = statm.split(' ').nth(1).and_then(|pages| pages.parse::<u64>().ok());
+        pages.unwrap_or_default() * rustix::param::page_size() as u64
+    }
+
+    fn release_free_memory(&self) {
+        chalkgap_heap::release_free_memory();
+    }
 }
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -3,10 +3,13 @@
 //!
 //! - [`Pipe`]: a stream and its state machine, owned by one task. Other tasks send it commands on a bounded channel.
 //! - [`Machine`]: the interface of a protocol state machine to a [`Pipe`]
+//! - [`MemoryBudget`]: the limit on the bytes that are held for all peers
 //! - [`unary`]: unary gRPC calls between the programs of a fleet
 
+mod connection_memory;
 mod linger;
 mod machine;
+mod memory_budget;
 mod pipe;
 pub mod unary;
 
@@ -14,8 +17,10 @@
 use futures_lite::future;
 use std::future::Future;
 
+pub use connection_memory::GUARANTEED_BYTES;
 pub use linger::linger;
 pub use machine::Machine;
+pub use memory_budget::{MemoryBudget, MemoryOwner, MemoryReservation};
 pub use pipe::{Pipe, Turn};
 
 /// Runs `task` until it completes or the sender of `kill` is dropped. In the second case the task is dropped at its
--- a/crates/transport/src/machine.rs
+++ b/crates/transport/src/machine.rs
@@ -20,6 +20,37 @@
 
     /// Returns the buffer of bytes to write. The caller advances the buffer past the bytes that it has written.
     fn output(&mut self) -> &mut BytesMut;
+
+    /// Returns the number of bytes that wait to be written: those of the output, and those that enter it later.
+    fn unwritten_bytes(&mut self) -> usize {
+        self.output().len()
+    }
+
+    /// Called when all output has been written.
+    fn on_output_written(&mut self) {}
+
+    /// Returns the number of bytes held for the peer: the capacity of buffers, not their length.
+    fn held_bytes(&self) -> usize {
+        0
+    }
+
+    /// Returns an upper bound of [`held_bytes`](Machine::held_bytes) after `count` more bytes were received.
+    fn held_bytes_after(&self, count: usize) -> usize {
+        self.held_bytes() + count
+    }
+
+    /// Returns the number of bytes of an unfinished message. 0 if the connection has anything else to complete.
+    fn unfinished_bytes(&self) -> usize {
+        0
+    }
+
+    /// Gives up an unfinished message, if nothing else is to be completed, because its memory is needed.
+    ///
+    /// # Errors
+    /// Returns an error if the connection is to be closed as after a violation of the protocol.
+    fn reclaim(&mut self) -> Result<(), Self::Error> {
+        Ok(())
+    }
 }
 
 impl Machine for Connection {
--- a/crates/transport/src/pipe.rs
+++ b/crates/transport/src/pipe.rs
@@ -1,13 +1,16 @@
 //! A stream together with the state machine of its protocol.
 
+use crate::connection_memory::{ConnectionMemory, GUARANTEED_BYTES};
 use crate::linger::linger;
 use crate::machine::Machine;
+use crate::memory_budget::MemoryBudget;
 use async_channel::{Receiver, Sender, TrySendError};
 use bytes::Buf;
 use chalkgap_runtime::{Alarm, Micros, Shared, Stream};
 use chalkgap_wire::http2::{ConnError, Connection};
 use futures_lite::{future, AsyncRead, AsyncWrite, Stream as _};
 use std::pin::Pin;
+use std::sync::Arc;
 use std::task::{Context, Poll};
 
 /// While this many bytes or more are unwritten, because the peer reads too slowly, a pipe neither reads bytes nor takes
@@ -24,7 +27,7 @@
 
 /// The event with which a [`Pipe::turn`] ended.
 pub enum Turn<C, E = ConnError> {
-    /// The state machine has processed received bytes and may have events.
+    /// The state machine may have events: it has processed received bytes, or has given up an unfinished message.
     Read,
     /// A command arrived.
     Command(C),
@@ -60,6 +63,10 @@
     reading_since: Option<Micros>,
     /// Number of turns that ended without a wait since the last wait.
     turns_without_wait: u32,
+    /// `None` if no budget limits the connection.
+    memory: Option<ConnectionMemory>,
+    /// Whether the stream is not read because the budget does not allow it.
+    awaits_memory: bool,
 }
 
 impl<C, M: Machine> Pipe<C, M> {
@@ -83,9 +90,23 @@
             next_peer_check: None,
             reading_since: None,
             turns_without_wait: 0,
+            memory: None,
+            awaits_memory: false,
         }
     }
 
+    /// Limits what the connection holds by a budget. While the budget does not allow it to hold more, the stream is not read.
+    #[must_use]
+    pub fn with_memory(mut self, budget: Arc<MemoryBudget>) -> Self {
+        self.memory = Some(ConnectionMemory::new(budget));
+        self
+    }
+
+    /// Whether the stream is not read because the budget does not allow the connection to hold more.
+    pub fn awaits_memory(&self) -> bool {
+        self.awaits_memory
+    }
+
     /// Returns the time since which there have been unwritten bytes without interruption, and the number of bytes
     /// written since then. Returns `None` if the last turn left no unwritten bytes.
     pub fn backlog(&self) -> Option<(Micros, u64)> {
@@ -198,12 +219,18 @@
         until: Option<Micros>,
         read: bool,
     ) -> Poll<Turn<C, M::Error>> {
+        if let Some(turn) = self.poll_reclaimed(cx) {
+            return Poll::Ready(turn);
+        }
         match self.poll_write_output(cx) {
-            Poll::Ready(Ok(())) => self.backlog = None,
+            Poll::Ready(Ok(())) => {
+                self.backlog = None;
+                self.conn.on_output_written();
+            }
             Poll::Ready(Err(StreamEnded)) => return Poll::Ready(Turn::Closed),
             Poll::Pending => self.backlog = self.backlog.or_else(|| Some((self.runtime.now(), 0))),
         }
-        let below_high_water = self.conn.output().len() < HIGH_WATER_BYTES;
+        let below_high_water = self.conn.unwritten_bytes() < HIGH_WATER_BYTES;
         if below_high_water {
             match self.commands.as_mut().poll_next(cx) {
                 Poll::Ready(Some(command)) => return Poll::Ready(Turn::Command(command)),
@@ -211,7 +238,9 @@
                 Poll::Pending => {}
             }
         }
+        self.update_memory();
         let reads = below_high_water && read;
+        self.awaits_memory = false;
         if !reads {
             self.reading_since = None;
         } else {
@@ -220,6 +249,7 @@
             if let Poll::Ready(turn) = self.poll_read(cx) {
                 return Poll::Ready(turn);
             }
+            self.update_memory();
         }
         if let Some(signal) = &mut self.signal {
             if signal.as_mut().poll_next(cx).is_ready() {
@@ -250,9 +280,36 @@
         }
     }
 
+    /// Returns a turn if the state machine was told to give up an unfinished message.
+    fn poll_reclaimed(&mut self, cx: &mut Context<'_>) -> Option<Turn<C, M::Error>> {
+        let is_reclaimed = self.memory.as_mut().is_some_and(|memory| memory.poll_reclaimed(cx));
+        is_reclaimed.then(|| self.conn.reclaim().map_or_else(Turn::ProtocolError, |()| Turn::Read))
+    }
+
+    /// Tells the budget what the connection holds.
+    fn update_memory(&mut self) {
+        if let Some(memory) = &mut self.memory {
+            memory.update(&*self.runtime, self.conn.held_bytes(), self.conn.unfinished_bytes());
+        }
+    }
+
+    /// Returns how many bytes may be read now, after reserving memory for them.
+    fn reserve_for_read(&mut self) -> usize {
+        let Some(memory) = &mut self.memory else { return READ_BYTES };
+        if memory.reserve(&*self.runtime, self.conn.held_bytes_after(READ_BYTES)) {
+            return READ_BYTES;
+        }
+        GUARANTEED_BYTES.saturating_sub(self.conn.held_bytes())
+    }
+
     fn poll_read(&mut self, cx: &mut Context<'_>) -> Poll<Turn<C, M::Error>> {
+        let max_bytes = self.reserve_for_read();
+        self.awaits_memory = max_bytes == 0;
+        if self.awaits_memory {
+            return Poll::Pending;
+        }
         let mut buffer = [0; READ_BYTES];
-        match Pin::new(&mut self.stream).poll_read(cx, &mut buffer) {
+        match Pin::new(&mut self.stream).poll_read(cx, &mut buffer[..max_bytes]) {
             Poll::Ready(Ok(count)) if count > 0 => {
                 let received = self.conn.receive(self.runtime.now(), &buffer[..count]);
                 Poll::Ready(received.map_or_else(Turn::ProtocolError, |()| Turn::Read))
@@ -262,7 +319,7 @@
         }
     }
 
-    /// Waits for the time `until` and, if the stream is not read, for the peer to leave.
+    /// Waits for the time `until` and, if the stream is not read, for the peer to leave or for memory.
     fn poll_time(
         &mut self,
         cx: &mut Context<'_>,
@@ -270,7 +327,7 @@
         reads: bool,
     ) -> Poll<Turn<C, M::Error>> {
         loop {
-            self.next_peer_check = if reads {
+            self.next_peer_check = if reads && !self.awaits_memory {
                 None
             } else {
                 self.next_peer_check.or_else(|| Some(self.runtime.now() + PEER_LEFT_CHECK_MICROS))
@@ -287,6 +344,10 @@
                 return Poll::Ready(Turn::Closed);
             }
             self.next_peer_check = None;
+            if self.awaits_memory {
+                cx.waker().wake_by_ref(); // the next poll tries to read again
+                return Poll::Pending;
+            }
         }
     }
 }
