Lists of discovery and known endpoints draw from the memory budget

Cause: a list was received up to 8 MB whatever memory was left, its buffer stayed for as long as the watch was open, and the endpoints themselves were counted nowhere.

Change: a call to discovery reserves what it holds and fails when there is no memory (the last list stays in use); the buffer is freed with its list; endpoints are counted at 1,536 bytes each and always kept.

The start is measured after 3 s of calm in all rows: with 3,200 backends the usual clients fill the pool of connections.

--- a/crates/cli/tests/platform_memory/main.rs
+++ b/crates/cli/tests/platform_memory/main.rs
@@ -21,6 +21,8 @@
 /// More clients than the ingress has descriptors for.
 const CROWD_CLIENTS: usize = 950;
 const USUAL_CLIENTS: u64 = 6;
+/// How long the usual clients are alone before: long enough to use all connections to backends.
+const CALM_DURATION: Duration = Duration::from_secs(3);
 /// How long a crowd stays: longer than two rounds of connections that end with the timeout for a command.
 const CROWD_DURATION: Duration = Duration::from_secs(5);
 /// How long after a crowd the process may hold more than before.
@@ -43,6 +45,8 @@
 struct Limits {
     memory_mb: u64,
     descriptors: u64,
+    /// Number of backends that discovery lists. They share the sockets of two.
+    backends: usize,
 }
 
 /// Samples the resident memory of a process.
@@ -116,6 +120,20 @@
     slowest
 }
 
+/// A complete list of `count` backends, which listen on `ports` in turn.
+fn list_of(ports: &[u16], count: usize) -> String {
+    let of_two = known(ports);
+    let first = of_two.find('[').unwrap() + 1;
+    let record = &of_two[first..=of_two.find('}').unwrap()];
+    let records = (0..count).map(|number| {
+        let port = ports[number % ports.len()];
+        let dial = format!("\"dial\":\"127.0.0.1:{port}\"");
+        let name = format!("{{\"host\":\"s-{number:08x}\",{dial}");
+        format!("{name}{}", &record[record.find(",\"site\"").unwrap()..])
+    });
+    format!("{{\"seq\":2,\"whole\":true,\"hosts\":[{}]}}", records.collect::<Vec<_>>().join(","))
+}
+
 /// An ingress with two backends and usual clients.
 struct Scene {
     process: Running,
@@ -145,8 +163,8 @@
             })
         };
         let ports = [start_backend(), start_backend()];
-        let Limits { memory_mb, descriptors } = limits;
-        let text = config(1, discovery(known(&ports)).port, &ports);
+        let Limits { memory_mb, descriptors, backends } = limits;
+        let text = config(1, discovery(list_of(&ports, backends)).port, &ports);
         let limits = format!("\"memory_mb\":{memory_mb},\"sockets\":{descriptors}");
         let process = Running::start("crowd", &text.replace("\"memory_mb\":64,\"sockets\":256", &limits));
         let is_over = Arc::new(AtomicBool::new(false));
@@ -181,7 +199,7 @@
 fn check_crowd(limits: Limits, behaviours: &'static [Behaviour]) {
     let mut scene = Scene::start(limits);
     let process = scene.process.child.id();
-    sleep(Duration::from_millis(500));
+    sleep(CALM_DURATION);
     let before = resident_bytes(process);
     let watch = MemoryWatch::start(process);
     let crowd = Crowd::start(scene.process.address, CROWD_CLIENTS, behaviours);
@@ -204,7 +222,7 @@
     assert!(slowest <= LATEST_ANSWER, "an answer took {slowest:?} beside {behaviours:?}");
 }
 
-const LEAST: Limits = Limits { memory_mb: 32, descriptors: 1024 };
+const LEAST: Limits = Limits { memory_mb: 32, descriptors: 1024, backends: 2 };
 
 /// Commands that stop half way were held without a bound in bytes: the process passed its limit and was killed.
 #[test]
@@ -234,12 +252,18 @@
     check_crowd(LEAST, &[Behaviour::OneByte]);
 }
 
+/// The largest list of backends that the pages name leaves less room for clients.
+#[test]
+fn a_crowd_beside_3200_backends_stays_below_the_memory_limit() {
+    check_crowd(Limits { backends: 3200, ..LEAST }, &Behaviour::ALL);
+}
+
 /// All of it at once, at each limit of memory and descriptors that the pages name.
 #[test]
 fn a_mixed_crowd_stays_below_each_memory_limit() {
     for memory_mb in [32, 64, 192] {
         for descriptors in [256, 1024] {
-            check_crowd(Limits { memory_mb, descriptors }, &Behaviour::ALL);
+            check_crowd(Limits { memory_mb, descriptors, ..LEAST }, &Behaviour::ALL);
         }
     }
 }
--- a/crates/platform/src/discovery/call.rs
+++ b/crates/platform/src/discovery/call.rs
@@ -4,11 +4,13 @@
 use crate::discovery_client::{DiscoveryClient, ResponseError};
 use crate::endpoint_list::EndpointList;
 use chalkgap_runtime::{Alarm, BoxFuture, Micros, Shared, Stream};
+use chalkgap_transport::MemoryBudget;
 use futures_lite::{ready, AsyncRead, AsyncWriteExt};
 use std::fmt;
 use std::future::poll_fn;
 use std::net::SocketAddr;
 use std::pin::Pin;
+use std::sync::Arc;
 use std::task::{Context, Poll};
 
 const READ_BUFFER_BYTES: usize = 8 << 10;
@@ -116,6 +118,7 @@
     /// Makes `request` to `address`. The connection is established when the call is polled.
     pub(super) fn start(
         runtime: &Shared,
+        memory: &Arc<MemoryBudget>,
         address: SocketAddr,
         request: ListRequest,
     ) -> Result<DiscoveryCall, FailedCall> {
@@ -138,7 +141,7 @@
             request,
             started_at: now,
             connection: Connection::Opening(Box::pin(opening)),
-            client,
+            client: client.with_memory(memory),
             has_answered: false,
             last_progress_at: now,
             partial_since: None,
--- a/crates/platform/src/discovery/hedged_request.rs
+++ b/crates/platform/src/discovery/hedged_request.rs
@@ -7,13 +7,16 @@
 use super::{jittered, log_failure};
 use crate::endpoint_list::EndpointList;
 use chalkgap_runtime::{Alarm, Micros, Shared};
+use chalkgap_transport::MemoryBudget;
 use std::future::poll_fn;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::task::Poll;
 
 /// A request and its open calls. The first answer ends all other calls.
 pub(super) struct HedgedRequest<'a> {
     runtime: &'a Shared,
+    memory: &'a Arc<MemoryBudget>,
     address: SocketAddr,
     request: ListRequest,
     /// Whether the ingress has a list.
@@ -27,13 +30,14 @@
 impl<'a> HedgedRequest<'a> {
     pub(super) fn new(
         runtime: &'a Shared,
+        memory: &'a Arc<MemoryBudget>,
         address: SocketAddr,
         request: ListRequest,
         has_list: bool,
         backoff: &'a mut Backoff,
     ) -> HedgedRequest<'a> {
         let hedged = HedgedCalls::new(runtime.now());
-        HedgedRequest { runtime, address, request, has_list, backoff, hedged, calls: Vec::new() }
+        HedgedRequest { runtime, memory, address, request, has_list, backoff, hedged, calls: Vec::new() }
     }
 
     /// Calls discovery until a call is answered: a watch by any data, another request by a list. Returns the call and its list,
@@ -63,7 +67,7 @@
     }
 
     fn call(&mut self, now: Micros) {
-        match DiscoveryCall::start(self.runtime, self.address, self.request) {
+        match DiscoveryCall::start(self.runtime, self.memory, self.address, self.request) {
             Ok(call) => {
                 self.calls.push(call);
                 self.hedged.called(now, now + self.backoff.late_after(now, self.request));
--- a/crates/platform/src/discovery/mod.rs
+++ b/crates/platform/src/discovery/mod.rs
@@ -24,6 +24,7 @@
 use chalkgap::frontend::DriverEvent;
 use chalkgap_core::Discovery;
 use chalkgap_runtime::{Micros, Shared};
+use chalkgap_transport::MemoryReservation;
 use error::DiscoveryError;
 use futures_lite::future;
 use hedged_request::HedgedRequest;
@@ -54,12 +55,19 @@
     pub driver: Sender<DriverEvent<ForwardedCommand>>,
     /// Closed when the first list from discovery has been applied.
     pub first_list: Sender<()>,
+    /// The memory of the known endpoints. Its budget limits lists that are being received, too.
+    pub endpoint_memory: MemoryReservation,
 }
 
+/// Upper bound of the memory of an endpoint: its records in the endpoint set, the driver and the core, and its share of a list
+/// that is being applied.
+const ENDPOINT_BYTES: usize = 1536;
+
 impl DiscoveryFollower {
     /// Follows discovery until the ingress stops. A new address takes effect at once: the calls in progress are cancelled.
     pub async fn run(mut self, new_addresses: Receiver<SocketAddr>) {
         let mut backoff = Backoff::new(self.timeouts, self.endpoints.has_list());
+        self.count_endpoints();
         loop {
             let next_address = next_address(&new_addresses, self.address);
             let followed = async {
@@ -95,7 +103,9 @@
         }
         let request = ListRequest::Watch { from: self.endpoints.version() };
         let mut watch = match self.timeouts.mode {
-            Discovery::Push => DiscoveryCall::start(&runtime, self.address, request)?,
+            Discovery::Push => {
+                DiscoveryCall::start(&runtime, self.endpoint_memory.budget(), self.address, request)?
+            }
             Discovery::Poll => self.request(&runtime, request, backoff).await?,
         };
         let timeouts = backoff.watch_timeouts();
@@ -118,7 +128,8 @@
         backoff: &mut Backoff,
     ) -> Result<DiscoveryCall, FailedCall> {
         let has_list = self.endpoints.has_list();
-        let hedged = HedgedRequest::new(runtime, self.address, request, has_list, backoff);
+        let memory = self.endpoint_memory.budget().clone();
+        let hedged = HedgedRequest::new(runtime, &memory, self.address, request, has_list, backoff);
         let (call, list) = hedged.answer().await;
         if let Some(list) = list {
             self.apply(&list).await.map_err(|error| call.failed(error))?;
@@ -127,8 +138,14 @@
         Ok(call)
     }
 
+    /// Counts the memory of the endpoints. They are known whether there is memory or not: without them no request is served.
+    fn count_endpoints(&mut self) {
+        self.endpoint_memory.resize(self.endpoints.len() * ENDPOINT_BYTES);
+    }
+
     async fn apply(&mut self, list: &EndpointList) -> Result<(), DiscoveryError> {
         let EndpointChange { update, endpoints } = self.endpoints.apply(self.runtime.now(), list)?;
+        self.count_endpoints();
         let count = endpoints.len();
         tracing::debug!(
             version = list.version,
--- a/crates/platform/src/discovery_client.rs
+++ b/crates/platform/src/discovery_client.rs
@@ -2,8 +2,10 @@
 //! a sequence of JSON values, in any layout and received in pieces of any size.
 
 use bytes::{Buf, BytesMut};
+use chalkgap_transport::{MemoryBudget, MemoryOwner, MemoryReservation};
 use serde::de::DeserializeOwned;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use ureq_proto::client::state::{RecvBody, RecvResponse};
 use ureq_proto::client::{Call, RecvResponseResult, SendRequestResult};
 use ureq_proto::http::{header, Request};
@@ -33,6 +35,9 @@
     /// A JSON value of the body exceeds `MAX_VALUE_BYTES`.
     #[error("body: expected values of at most {MAX_VALUE_BYTES} bytes")]
     ValueTooLong,
+    /// There is not enough memory for a JSON value of the body.
+    #[error("body: expected a list for which there is memory, found {0} bytes of it")]
+    OutOfMemory(usize),
     /// The request could not be built.
     #[error("request: {0}")]
     Request(#[from] ureq_proto::http::Error),
@@ -50,6 +55,8 @@
     part: ResponsePart,
     input: BytesMut,
     body: BytesMut,
+    /// The memory of `input` and `body`.
+    memory: MemoryReservation,
     /// Length of the incomplete value in `body` when it was last parsed; 0 if it was not parsed yet.
     parsed_bytes: usize,
 }
@@ -75,17 +82,26 @@
             part: ResponsePart::Head(call),
             input: BytesMut::new(),
             body: BytesMut::new(),
+            memory: MemoryBudget::unlimited().reservation(MemoryOwner::Endpoints),
             parsed_bytes: 0,
         };
         Ok((client, bytes))
     }
 
+    /// Counts the memory of the response in a budget, instead of without a limit.
+    #[must_use]
+    pub fn with_memory(mut self, memory: &Arc<MemoryBudget>) -> Self {
+        self.memory = memory.reservation(MemoryOwner::Endpoints);
+        self
+    }
+
     /// Decodes received bytes of the response.
     ///
     /// # Errors
-    /// [`ResponseError::Http`], [`ResponseError::HeadTooLong`], [`ResponseError::Status`] or [`ResponseError::ValueTooLong`].
-    /// The connection cannot be used afterwards.
+    /// [`ResponseError::Http`], [`ResponseError::HeadTooLong`], [`ResponseError::Status`], [`ResponseError::ValueTooLong`] or
+    /// [`ResponseError::OutOfMemory`]. The connection cannot be used afterwards.
     pub fn receive(&mut self, bytes: &[u8]) -> Result<(), ResponseError> {
+        self.reserve(bytes.len())?;
         self.input.extend_from_slice(bytes);
         while self.step()? {}
         if self.input.len() > MAX_HEAD_BYTES && !self.is_ended() {
@@ -97,6 +113,16 @@
         Ok(())
     }
 
+    /// Reserves memory for `count` more bytes: buffers that have to grow double their capacity.
+    fn reserve(&mut self, count: usize) -> Result<(), ResponseError> {
+        let buffered = self.input.len() + self.body.len() + count;
+        let missing = (2 * buffered).saturating_sub(self.memory.bytes());
+        if missing == 0 || self.memory.grow(missing) {
+            return Ok(());
+        }
+        Err(ResponseError::OutOfMemory(self.body.len()))
+    }
+
     /// Takes the next JSON value from the received body; returns `None` if more bytes are needed.
     ///
     /// # Errors
@@ -118,6 +144,10 @@
         let consumed = values.byte_offset();
         self.body.advance(consumed);
         self.parsed_bytes = 0;
+        if self.body.is_empty() {
+            self.body = BytesMut::new(); // a watch stays open for long
+            self.memory.resize(self.input.capacity());
+        }
         Ok(value)
     }
 
--- a/crates/platform/src/endpoint_set.rs
+++ b/crates/platform/src/endpoint_set.rs
@@ -78,6 +78,16 @@
         EndpointSet { zone_names, machine_kinds, ..EndpointSet::default() }
     }
 
+    /// Returns the number of known backends, withdrawn ones included.
+    pub fn len(&self) -> usize {
+        self.ready.len() + self.withdrawn.len()
+    }
+
+    /// Whether no backend is known.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
     /// Whether a list has been applied.
     pub fn has_list(&self) -> bool {
         !self.ready.is_empty() || !self.withdrawn.is_empty()
--- a/crates/platform/src/ingress.rs
+++ b/crates/platform/src/ingress.rs
@@ -18,7 +18,7 @@
 use chalkgap_admission::BudgetError;
 use chalkgap_core::Gateway;
 use chalkgap_runtime::{BoxFuture, Datagrams, Micros, Shared};
-use chalkgap_transport::{while_alive, MemoryBudget};
+use chalkgap_transport::{while_alive, MemoryBudget, MemoryOwner};
 use futures_lite::future;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
@@ -295,6 +295,7 @@
             timeouts: DiscoveryTimeouts::new(settings.rules.drain_grace, settings.discovery),
             driver: self.driver.clone(),
             first_list,
+            endpoint_memory: self.memory.reservation(MemoryOwner::Endpoints),
         };
         self.spawn(Box::pin(follower.run(new_addresses)));
         first_list_applied
--- a/crates/platform/tests/simulated_discovery/mod.rs
+++ b/crates/platform/tests/simulated_discovery/mod.rs
@@ -11,6 +11,7 @@
 use chalkgap_platform::request::ForwardedCommand;
 use chalkgap_runtime::simulated_runtime::{address, HostGuard, Simulation};
 use chalkgap_runtime::{Micros, Runtime, Shared, Stream};
+use chalkgap_transport::{MemoryBudget, MemoryOwner};
 use futures_lite::{future, AsyncReadExt, AsyncWriteExt};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -228,6 +229,7 @@
         timeouts,
         driver,
         first_list,
+        endpoint_memory: MemoryBudget::unlimited().reservation(MemoryOwner::Endpoints),
     };
     let task = follower.run(address_receiver);
     runtime.spawn(Box::pin(task)).detach();
--- a/crates/platform/tests/state_machines/discovery_responses.rs
+++ b/crates/platform/tests/state_machines/discovery_responses.rs
@@ -2,6 +2,7 @@
 
 use crate::builders::{encoded_list, loopback};
 use chalkgap_platform::discovery_client::{DiscoveryClient, ResponseError};
+use chalkgap_transport::MemoryBudget;
 
 /// Decodes a response that arrives in chunks of `chunk_size` bytes. Returns its JSON values, and whether it has ended.
 pub(crate) fn responses(
@@ -83,3 +84,18 @@
     let endless = format!("{{\"a\":\"{}", "x".repeat(9 << 20));
     assert!(matches!(responses(&chunked(&[&endless]), 1 << 16), Err(ResponseError::ValueTooLong)));
 }
+
+/// A list was received without regard to the memory that is left; the largest may take a quarter of the least limit.
+#[test]
+fn a_list_for_which_there_is_no_memory_is_abandoned_before_it_is_held() {
+    const BUDGET_BYTES: usize = 1 << 20;
+    let budget = MemoryBudget::new(BUDGET_BYTES);
+    let (client, _) = DiscoveryClient::get(loopback(1), "/api/targets").unwrap();
+    let mut client = client.with_memory(&budget);
+    client.receive(b"HTTP/1.1 200 OK\r\n\r\n{\"a\":\"").unwrap();
+    let result = (0..1024).try_for_each(|_| client.receive(&[b'x'; 4096]));
+    assert!(matches!(result, Err(ResponseError::OutOfMemory(_))), "{result:?}");
+    assert!(budget.held_bytes() <= BUDGET_BYTES);
+    drop(client);
+    assert_eq!(budget.held_bytes(), 0);
+}
--- a/crates/transport/src/memory_budget.rs
+++ b/crates/transport/src/memory_budget.rs
@@ -166,6 +166,11 @@
 }
 
 impl MemoryReservation {
+    /// Returns the budget that the bytes are reserved from.
+    pub fn budget(&self) -> &Arc<MemoryBudget> {
+        &self.budget
+    }
+
     /// Returns the number of bytes reserved.
     pub fn bytes(&self) -> usize {
         self.bytes
