serve: a memory limit, from which the budget of clients' connections follows

Callers of serve would have seen the same: 300 clients from as many addresses, each with 28 calls of which half a message is sent, made the process hold 302,755 kB; nothing in its settings limited that.

Change: the section memory.limit_mb (512 by default) of serve's settings, the budget of the platform's fault for gRPC and MQTT connections (buffers, header table, header blocks, streams and messages that are not complete; a connection keeps 8 KiB whatever the others hold), and for requests with their bodies. What is reclaimed is told: GOAWAY with ENHANCE_YOUR_CALM, DISCONNECT with quota exceeded. The task that watches the budget is the platform's, moved.

Not covered: replies of nodes, the ledger's peers, MQTT's retained state (open).

--- a/crates/gateway/src/frontends/context.rs
+++ b/crates/gateway/src/frontends/context.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use chalkgap_core::RequestId;
 use chalkgap_runtime::Micros;
+use chalkgap_transport::{MemoryBudget, MemoryOwner};
 use chalkgap_wire::grpc as framing;
 use chalkgap_wire::intake;
 use chalkgap_wire::ratelimit::Entry;
@@ -17,12 +18,17 @@
 /// Number of hexadecimal digits of an idempotency key that is sent to nodes.
 const KEY_DIGITS: usize = 32;
 
+/// Upper bound of the memory of a request beside its body: the records of driver, core and ledger.
+const REQUEST_RECORD_BYTES: usize = 2048;
+
 /// State shared by all connections of the gRPC and MQTT frontends.
 #[derive(Clone)]
 pub struct FrontendContext {
     pub(crate) acceptor: Acceptor,
     pub(crate) settings: Arc<Compiled>,
     pub(crate) driver: Sender<DriverEvent>,
+    /// Limits what is held for clients.
+    pub(crate) memory: Arc<MemoryBudget>,
     /// Number of the next request.
     pub(crate) next_request: Arc<AtomicU64>,
     /// Name of this run of the gateway's process. It makes request ids and generated idempotency keys unique among all
@@ -109,6 +115,8 @@
             entries: request.entries,
             payload: request.payload,
         };
+        let body = framing::frame(&work);
+        let body = self.memory.draw(MemoryOwner::Requests, body.len() + REQUEST_RECORD_BYTES).attach(body);
         Ok(PendingRequest {
             id,
             class: class_index,
@@ -116,7 +124,7 @@
             customer,
             units: f64::from(units),
             deadline: client_deadline.saturating_sub(frontend.answer_margin_ms * 1000),
-            work: Work { body: framing::frame(&work), idempotency_key },
+            work: Work { body, idempotency_key },
             response_sender,
             token,
         })
--- a/crates/gateway/src/frontends/grpc/calls.rs
+++ b/crates/gateway/src/frontends/grpc/calls.rs
@@ -47,6 +47,16 @@
     Waiting { id: RequestId, descriptors: usize, account: u64, preferred: bool },
 }
 
+impl Call {
+    /// Returns the number of bytes of the call's message that were received while it is incomplete.
+    pub(super) fn unfinished_bytes(&self) -> usize {
+        match self {
+            Call::Reading { bytes, .. } => *bytes as usize,
+            Call::Waiting { .. } => 0,
+        }
+    }
+}
+
 /// Reason for which a call is rejected by its headers.
 enum HeaderError {
     /// The request is not gRPC and is answered with this HTTP status.
--- a/crates/gateway/src/frontends/grpc/connection.rs
+++ b/crates/gateway/src/frontends/grpc/connection.rs
@@ -4,13 +4,14 @@
 use super::slow_clients::ProgressWatch;
 use crate::connection_gate::Permit;
 use crate::frontends::FrontendContext;
+use crate::memory::GUARANTEED_CLIENT_BYTES;
 use crate::messages::{DriverEvent, Response};
 use crate::telemetry::add;
 use async_channel::Sender;
 use bytes::Bytes;
 use chalkgap_core::RequestId;
 use chalkgap_runtime::{Micros, Stream};
-use chalkgap_transport::{Pipe, Turn};
+use chalkgap_transport::{MemoryOwner, OwnerState, Pipe, Turn};
 use chalkgap_wire::grpc::{Code, Status};
 use chalkgap_wire::http2::{self, Config, ConnError, Connection, Event};
 use std::collections::HashMap;
@@ -48,7 +49,9 @@
     let runtime = context.runtime.clone();
     let progress = ProgressWatch::new(permit.time_without_stalls(), runtime.now());
     let server = Connection::server(config);
-    let mut pipe = Pipe::new(runtime.clone(), stream, server, responses, permit.signal.clone());
+    let _memory = context.memory.draw(MemoryOwner::Connections, GUARANTEED_CLIENT_BYTES);
+    let mut pipe = Pipe::new(runtime.clone(), stream, server, responses, permit.signal.clone())
+        .with_memory(context.memory.clone(), GUARANTEED_CLIENT_BYTES);
     let mut connection = ClientConnection {
         context,
         permit,
@@ -68,6 +71,7 @@
             break;
         }
         connection.handle_events(&mut pipe).await;
+        pipe.set_owner_state(connection.owner_state());
         if !handshake_reported && pipe.conn.settings_received() {
             handshake_reported = true;
             connection.permit.handshake_completed();
@@ -81,6 +85,12 @@
 }
 
 impl ClientConnection {
+    /// Returns what is held for the client beside the state of the protocol.
+    fn owner_state(&self) -> OwnerState {
+        let unfinished_bytes = self.calls.values().map(Call::unfinished_bytes).sum();
+        OwnerState { unfinished_bytes, has_requests: self.awaiting_response > 0 }
+    }
+
     /// Handles the result of a turn. Breaks if the connection is to be closed.
     fn on_turn(&mut self, turn: Turn<Response>, pipe: &mut ClientPipe) -> ControlFlow<()> {
         match turn {
--- a/crates/gateway/src/frontends/mqtt/connection.rs
+++ b/crates/gateway/src/frontends/mqtt/connection.rs
@@ -6,12 +6,13 @@
 use super::{lock, SharedState};
 use crate::connection_gate::Permit;
 use crate::frontends::FrontendContext;
+use crate::memory::GUARANTEED_CLIENT_BYTES;
 use crate::messages::{DriverEvent, Response};
 use crate::telemetry::add;
 use async_channel::{Receiver, Sender};
 use chalkgap_core::RequestId;
 use chalkgap_runtime::{Micros, Stream};
-use chalkgap_transport::{Pipe, Turn};
+use chalkgap_transport::{MemoryOwner, Pipe, Turn};
 use chalkgap_wire::mqtt::packet::{Filter, Subscribe, Unsubscribe, Will};
 use chalkgap_wire::mqtt::server::{connack_code, Event, Server, Session};
 use chalkgap_wire::mqtt::{reason, Error, Properties, QoS};
@@ -81,7 +82,9 @@
     let server = Server::new(shared.protocol_limits());
     let max_open = 2 * usize::from(shared.settings.receive_maximum);
     let peer = stream.peer();
-    let mut pipe = Pipe::new(runtime.clone(), stream, server, responses.clone(), permit.signal.clone());
+    let _memory = context.memory.draw(MemoryOwner::Connections, GUARANTEED_CLIENT_BYTES);
+    let mut pipe = Pipe::new(runtime.clone(), stream, server, responses.clone(), permit.signal.clone())
+        .with_memory(context.memory.clone(), GUARANTEED_CLIENT_BYTES);
     let mut connection = MqttConnection::new(shared, context, permit, peer, response_sender);
     let opened_at = runtime.now();
     let mut last_packet_at = opened_at;
--- a/crates/gateway/src/instance.rs
+++ b/crates/gateway/src/instance.rs
@@ -9,6 +9,7 @@
 use crate::frontends::mqtt::MqttFrontend;
 use crate::frontends::{self, Acceptor, FrontendContext};
 use crate::ledger::LedgerHandle;
+use crate::memory;
 use crate::messages::DriverEvent;
 use crate::node_list::{EndpointIds, NodeList};
 use crate::peers::{Channel, Key, Opened, Opener, ReceiveRates, Sealer, MAX_DATAGRAM};
@@ -18,7 +19,7 @@
 use async_channel::{Receiver, Sender};
 use chalkgap_core::Gateway;
 use chalkgap_runtime::{Datagrams, Micros, Shared};
-use chalkgap_transport::while_alive;
+use chalkgap_transport::{while_alive, MemoryBudget};
 use futures_lite::future;
 use std::future::Future;
 use std::net::SocketAddr;
@@ -53,6 +54,14 @@
     kill: Option<Sender<()>>,
 }
 
+/// Creates the budget of the memory that is held for clients.
+fn memory_budget(settings: &Settings, runtime: &Shared) -> Arc<MemoryBudget> {
+    let max_clients = runtime.descriptors().min(settings.front.max_connections as u64);
+    let guaranteed = max_clients * memory::GUARANTEED_CLIENT_BYTES as u64;
+    let limit = settings.memory.limit_mb * 1_000_000;
+    MemoryBudget::new(memory::budget_bytes(limit, runtime.resident_bytes() + guaranteed))
+}
+
 impl Instance {
     /// Starts an instance: binds its sockets, loads the cached node list, and starts to serve.
     ///
@@ -85,6 +94,7 @@
             }
         };
         let started_at = runtime.now();
+        let memory = memory_budget(&settings.settings, &runtime);
         let telemetry = Arc::new(Telemetry::default());
         let gate =
             ConnectionGate::new(runtime.clone(), ConnectionGateConfig::new(&settings), telemetry.clone());
@@ -238,10 +248,12 @@
             acceptor: acceptor.clone(),
             settings: settings.clone(),
             driver,
+            memory: memory.clone(),
             next_request: Arc::new(AtomicU64::new(1)),
             instance_name,
         };
         spawn(Box::pin(gate.run()));
+        spawn(Box::pin(memory::watch(runtime.clone(), memory)));
         if let Some((frontend, listener)) = mqtt {
             spawn(Box::pin(frontend.clone().run(runtime.clone())));
             spawn(Box::pin(frontends::listen(frontend, context.clone(), acceptor.clone(), listener)));
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,6 +7,7 @@
 //! - [`frontend`]: the driver, the connection gate and the traits for further protocols
 //! - [`fleet`]: membership of the fleet
 //! - [`settings`]: the settings of an instance
+//! - [`memory`]: the memory limit
 //! - [`node_list`]: the list of nodes
 //! - [`peers`]: authenticated datagrams between gateways
 //! - [`telemetry`]: the counters of an instance
@@ -19,6 +20,7 @@
 mod frontends;
 mod instance;
 mod ledger;
+pub mod memory;
 mod messages;
 pub mod node_list;
 pub mod peers;
--- a/crates/gateway/src/settings/mod.rs
+++ b/crates/gateway/src/settings/mod.rs
@@ -14,6 +14,7 @@
 mod frontend;
 mod ledger;
 mod limits;
+mod memory;
 mod mqtt;
 mod nodes;
 mod plans;
@@ -32,6 +33,7 @@
 pub use frontend::Front;
 pub use ledger::{Export, ExportTo, Ledger, LedgerGroup, OnFailure, Period};
 pub use limits::Limits;
+pub use memory::Memory;
 pub use mqtt::{Mqtt, Part, Topic};
 pub use nodes::{ListSource, Nodes, Sizes};
 pub use plans::{Account, Plan};
@@ -90,6 +92,10 @@
     #[serde(default)]
     #[garde(dive)]
     pub descriptors: Descriptors,
+    /// The memory limit of the process.
+    #[serde(default)]
+    #[garde(dive)]
+    pub memory: Memory,
     /// The MQTT frontend. Without it, MQTT is not served.
     #[serde(default)]
     #[garde(dive)]
--- a/crates/platform/src/client_connection.rs
+++ b/crates/platform/src/client_connection.rs
@@ -2,7 +2,7 @@
 //! the driver's answers to the client.
 
 use crate::frontend::{FrontendContext, LINGER_MICROS};
-use crate::memory_plan::CLIENT_CONNECTION_BYTES;
+use crate::memory_plan::{CLIENT_CONNECTION_BYTES, GUARANTEED_CLIENT_BYTES};
 use crate::session::{IncomingRequest, Session, MAX_PENDING_COMMANDS};
 use async_channel::Sender;
 use chalkgap::frontend::{Answer, DriverEvent, Permit, RequestEnd, Response};
@@ -92,7 +92,7 @@
         let (response_sender, responses) = async_channel::bounded(MAX_PENDING_COMMANDS);
         let session = Session::new(context.parser.clone()).with_memory(context.memory.clone());
         let mut pipe = Pipe::new(context.runtime.clone(), stream, session, responses, permit.signal.clone())
-            .with_memory(context.memory.clone());
+            .with_memory(context.memory.clone(), GUARANTEED_CLIENT_BYTES);
         let mut connection = ClientConnection {
             admitted_at: context.runtime.now(),
             context,
--- a/crates/platform/src/command_buffer.rs
+++ b/crates/platform/src/command_buffer.rs
@@ -1,13 +1,14 @@
 //! The received bytes of a client connection that have not been parsed yet. Its capacity follows what has arrived, so that the
 //! memory of a connection is known, and a command that was taken shares no memory with the buffer.
 
+use crate::memory_plan::GUARANTEED_CLIENT_BYTES;
 use bytes::Bytes;
 use chalkgap_resp::{find_command, Command, DecodeError, Limits};
-use chalkgap_transport::{MemoryBudget, MemoryOwner, GUARANTEED_BYTES};
+use chalkgap_transport::{MemoryBudget, MemoryOwner};
 use std::sync::Arc;
 
 /// Up to this capacity a buffer is as long as its contents.
-const EXACT_BYTES: usize = GUARANTEED_BYTES;
+const EXACT_BYTES: usize = GUARANTEED_CLIENT_BYTES;
 /// A longer buffer grows by this many bytes, so that it is not copied too often.
 const GROWTH_BYTES: usize = 8 << 10;
 /// A command of at least this length takes the buffer with it; a shorter one is copied.
--- a/crates/platform/src/ingress.rs
+++ b/crates/platform/src/ingress.rs
@@ -8,12 +8,12 @@
 use crate::frontend::{FrontendContext, RespFrontend};
 use crate::gossip::{self, OutgoingGossip};
 use crate::memory_plan::{budget_bytes, FixedMemory};
-use crate::memory_watch;
 use crate::request::ForwardedCommand;
 use crate::request_parser::RequestParser;
 use crate::shutdown::ShutdownTimeouts;
 use async_channel::{Receiver, Sender};
 use chalkgap::frontend::{listen, Acceptor, ConnectionGate, Driver, DriverEvent, DriverLimits};
+use chalkgap::memory;
 use chalkgap::telemetry::{Counts, Telemetry};
 use chalkgap_admission::BudgetError;
 use chalkgap_core::Gateway;
@@ -340,7 +340,7 @@
             fail_pending_at,
         };
         self.spawn(Box::pin(acceptor.gate.clone().run()));
-        self.spawn(Box::pin(memory_watch::run(self.runtime.clone(), self.memory.clone())));
+        self.spawn(Box::pin(memory::watch(self.runtime.clone(), self.memory.clone())));
         self.spawn(Box::pin(listen(RespFrontend, context, acceptor, listener)));
         Ok(address)
     }
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -24,7 +24,6 @@
 mod gossip;
 mod ingress;
 mod memory_plan;
-mod memory_watch;
 pub mod pool;
 mod reply_queue;
 pub mod request;
--- a/crates/platform/src/memory_plan.rs
+++ b/crates/platform/src/memory_plan.rs
@@ -1,19 +1,15 @@
 //! How an ingress divides its memory limit.
 
 use crate::connection_limits::descriptor_split;
+use chalkgap::memory;
 use chalkgap_core::CUSTOMER_RECORD_BYTES;
 
-/// The part of the limit that is kept free, as a divisor.
-const SPARE_DIVISOR: u64 = 10;
+/// Bytes that each client's connection may hold whatever the others hold: more than a usual command.
+pub(crate) const GUARANTEED_CLIENT_BYTES: usize = 512;
 /// Upper bound of the memory of a client's connection without the bytes that the budget counts.
 pub(crate) const CLIENT_CONNECTION_BYTES: usize = 8 << 10;
 /// The same for a connection to a backend.
 pub(crate) const BACKEND_CONNECTION_BYTES: usize = 4 << 10;
-/// The budget is at least the limit divided by this, however little is left.
-const MIN_BUDGET_DIVISOR: u64 = 16;
-/// Memory that the heap needs for a number of bytes held, in percent: between allocations it has gaps.
-const HEAP_PERCENT: u64 = 125;
-
 /// What an ingress holds that does not depend on what peers send.
 pub(crate) struct FixedMemory {
     /// Resident memory of the process before it serves anybody.
@@ -30,7 +26,5 @@
     let clients = descriptors.max_clients * CLIENT_CONNECTION_BYTES as u64;
     let backends = descriptors.nodes * BACKEND_CONNECTION_BYTES as u64;
     let customers = (fixed.max_customers * CUSTOMER_RECORD_BYTES) as u64;
-    let usable = memory_bytes - memory_bytes / SPARE_DIVISOR;
-    let left = usable.saturating_sub(fixed.resident_bytes + clients + backends + customers);
-    (left * 100 / HEAP_PERCENT).max(memory_bytes / MIN_BUDGET_DIVISOR) as usize
+    memory::budget_bytes(memory_bytes, fixed.resident_bytes + clients + backends + customers)
 }
--- a/crates/platform/src/reply_queue.rs
+++ b/crates/platform/src/reply_queue.rs
@@ -1,9 +1,9 @@
 //! The replies of a client connection that have not been written yet. Long values wait without being copied; short replies are
 //! collected in one buffer.
 
+use crate::memory_plan::GUARANTEED_CLIENT_BYTES;
 use bytes::{Bytes, BytesMut};
 use chalkgap_resp::put_bulk_header;
-use chalkgap_transport::GUARANTEED_BYTES;
 use std::collections::VecDeque;
 
 /// A value of at least this length waits without being copied.
@@ -74,7 +74,7 @@
 
     /// Frees the buffer after all was written, unless it is small.
     pub(crate) fn release_unused(&mut self) {
-        if self.unwritten_bytes() == 0 && self.output.capacity() > GUARANTEED_BYTES {
+        if self.unwritten_bytes() == 0 && self.output.capacity() > GUARANTEED_CLIENT_BYTES {
             self.output = BytesMut::new();
         }
     }
--- a/crates/transport/src/connection_memory.rs
+++ b/crates/transport/src/connection_memory.rs
@@ -11,8 +11,6 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Waker};
 
-/// Bytes that each connection may hold whatever the others hold: more than a usual short message.
-pub const GUARANTEED_BYTES: usize = 512;
 /// Unfinished input that is younger than this is not reclaimed: a client that sends without a pause needs less.
 const MIN_RECLAIM_AGE_MICROS: Micros = 300_000;
 /// Shortest time between two searches for a connection to reclaim memory from.
@@ -72,6 +70,8 @@
 pub(crate) struct ConnectionMemory {
     budget: Arc<MemoryBudget>,
     reservation: MemoryReservation,
+    /// Bytes that the connection may hold whatever the others hold.
+    guaranteed_bytes: usize,
     holder: Arc<Holder>,
     number: u64,
     /// When the unfinished input began; `None` if there is none.
@@ -79,22 +79,27 @@
 }
 
 impl ConnectionMemory {
-    pub(crate) fn new(budget: Arc<MemoryBudget>) -> Self {
+    pub(crate) fn new(budget: Arc<MemoryBudget>, guaranteed_bytes: usize) -> Self {
         let holder = Arc::new(Holder::default());
         let number = budget.holders.next_number.fetch_add(1, Ordering::Relaxed);
         budget.holders.by_number().insert(number, holder.clone());
         let reservation = budget.reservation(MemoryOwner::ClientBuffers);
-        ConnectionMemory { budget, reservation, holder, number, unfinished_since: None }
+        ConnectionMemory { budget, reservation, guaranteed_bytes, holder, number, unfinished_since: None }
+    }
+
+    /// Returns how much more the connection may hold whatever the others hold, if it holds `held` bytes.
+    pub(crate) fn guaranteed_rest(&self, held: usize) -> usize {
+        self.guaranteed_bytes.saturating_sub(held)
     }
 
     /// Records that the connection holds `held` bytes, of which `unfinished` are input that could be given back.
-    pub(crate) fn update(&mut self, runtime: &dyn Runtime, held: usize, unfinished: usize) {
-        let counted = held.saturating_sub(GUARANTEED_BYTES);
+    pub(crate) fn update(&mut self, runtime: &dyn Runtime, held: usize, unfinished: impl Fn() -> usize) {
+        let counted = held.saturating_sub(self.guaranteed_bytes);
         if counted != self.reservation.bytes() {
             self.reservation.resize(counted);
         }
-        let reclaimable = if counted > 0 { unfinished } else { 0 };
-        let is_unfinished = unfinished > 0;
+        let reclaimable = if counted > 0 { unfinished() } else { 0 };
+        let is_unfinished = reclaimable > 0;
         if is_unfinished != self.unfinished_since.is_some() {
             let now = runtime.now();
             self.unfinished_since = is_unfinished.then_some(now);
@@ -106,7 +111,7 @@
     /// Reserves what the connection holds after another read, `held` bytes. If the budget does not allow that, asks the others for
     /// memory and returns false.
     pub(crate) fn reserve(&mut self, runtime: &dyn Runtime, held: usize) -> bool {
-        let missing = held.saturating_sub(GUARANTEED_BYTES).saturating_sub(self.reservation.bytes());
+        let missing = held.saturating_sub(self.guaranteed_bytes).saturating_sub(self.reservation.bytes());
         if missing == 0 || self.reservation.grow(missing) {
             return true;
         }
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -17,11 +17,10 @@
 use futures_lite::future;
 use std::future::Future;
 
-pub use connection_memory::GUARANTEED_BYTES;
 pub use linger::linger;
 pub use machine::Machine;
 pub use memory_budget::{MemoryBudget, MemoryOwner, MemoryReservation};
-pub use pipe::{Pipe, Turn};
+pub use pipe::{OwnerState, Pipe, Turn};
 
 /// Runs `task` until it completes or the sender of `kill` is dropped. In the second case the task is dropped at its
 /// current await point.
--- a/crates/transport/src/machine.rs
+++ b/crates/transport/src/machine.rs
@@ -2,7 +2,7 @@
 
 use bytes::BytesMut;
 use chalkgap_runtime::Micros;
-use chalkgap_wire::http2::{ConnError, Connection};
+use chalkgap_wire::http2::{Code, ConnError, Connection};
 use chalkgap_wire::mqtt;
 
 /// The state machine of one side of a connection. It does no I/O: it consumes received bytes and produces the bytes to
@@ -69,6 +69,24 @@
     fn output(&mut self) -> &mut BytesMut {
         Connection::output(self)
     }
+
+    fn held_bytes(&self) -> usize {
+        Connection::held_bytes(self)
+    }
+
+    fn held_bytes_after(&self, count: usize) -> usize {
+        Connection::held_bytes(self) + 2 * count // buffers double their capacity when they grow
+    }
+
+    fn unfinished_bytes(&self) -> usize {
+        Connection::unfinished_bytes(self)
+    }
+
+    fn reclaim(&mut self) -> Result<(), ConnError> {
+        let error = ConnError { code: Code::ENHANCE_YOUR_CALM, reason: "memory is short" };
+        self.abort(error);
+        Err(error)
+    }
 }
 
 impl Machine for mqtt::server::Server {
@@ -81,4 +99,21 @@
     fn output(&mut self) -> &mut BytesMut {
         mqtt::server::Server::output(self)
     }
+
+    fn held_bytes(&self) -> usize {
+        mqtt::server::Server::held_bytes(self)
+    }
+
+    fn held_bytes_after(&self, count: usize) -> usize {
+        mqtt::server::Server::held_bytes(self) + 2 * count // buffers double their capacity when they grow
+    }
+
+    fn unfinished_bytes(&self) -> usize {
+        mqtt::server::Server::unfinished_bytes(self)
+    }
+
+    fn reclaim(&mut self) -> Result<(), mqtt::Error> {
+        self.disconnect(mqtt::reason::QUOTA_EXCEEDED, Some("memory is short"));
+        Ok(())
+    }
 }
--- a/crates/transport/src/pipe.rs
+++ b/crates/transport/src/pipe.rs
@@ -1,6 +1,6 @@
 //! A stream together with the state machine of its protocol.
 
-use crate::connection_memory::{ConnectionMemory, GUARANTEED_BYTES};
+use crate::connection_memory::ConnectionMemory;
 use crate::linger::linger;
 use crate::machine::Machine;
 use crate::memory_budget::MemoryBudget;
@@ -44,6 +44,15 @@
 /// Error of a write to a stream that has ended or failed.
 struct StreamEnded;
 
+/// What the owner of a pipe holds for the peer beside the state machine.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct OwnerState {
+    /// Bytes of messages that are not complete.
+    pub unfinished_bytes: usize,
+    /// Whether the owner has requests of the peer to complete.
+    pub has_requests: bool,
+}
+
 /// A stream and its state machine, with a channel of commands from other tasks. The pipe also reports a signal: that the
 /// sender of another channel was dropped.
 pub struct Pipe<C, M = Connection> {
@@ -65,6 +74,7 @@
     turns_without_wait: u32,
     /// `None` if no budget limits the connection.
     memory: Option<ConnectionMemory>,
+    owner_state: OwnerState,
     /// Whether the stream is not read because the budget does not allow it.
     awaits_memory: bool,
 }
@@ -91,17 +101,24 @@
             reading_since: None,
             turns_without_wait: 0,
             memory: None,
+            owner_state: OwnerState::default(),
             awaits_memory: false,
         }
     }
 
-    /// Limits what the connection holds by a budget. While the budget does not allow it to hold more, the stream is not read.
+    /// Limits what the connection holds beyond `guaranteed_bytes` by a budget. While the budget does not allow it to hold more,
+    /// the stream is not read.
     #[must_use]
-    pub fn with_memory(mut self, budget: Arc<MemoryBudget>) -> Self {
-        self.memory = Some(ConnectionMemory::new(budget));
+    pub fn with_memory(mut self, budget: Arc<MemoryBudget>, guaranteed_bytes: usize) -> Self {
+        self.memory = Some(ConnectionMemory::new(budget, guaranteed_bytes));
         self
     }
 
+    /// Tells the pipe what its owner holds for the peer beside the state machine.
+    pub fn set_owner_state(&mut self, state: OwnerState) {
+        self.owner_state = state;
+    }
+
     /// Whether the stream is not read because the budget does not allow the connection to hold more.
     pub fn awaits_memory(&self) -> bool {
         self.awaits_memory
@@ -283,13 +300,17 @@
     /// Returns a turn if the state machine was told to give up an unfinished message.
     fn poll_reclaimed(&mut self, cx: &mut Context<'_>) -> Option<Turn<C, M::Error>> {
         let is_reclaimed = self.memory.as_mut().is_some_and(|memory| memory.poll_reclaimed(cx));
+        let is_reclaimed = is_reclaimed && !self.owner_state.has_requests;
         is_reclaimed.then(|| self.conn.reclaim().map_or_else(Turn::ProtocolError, |()| Turn::Read))
     }
 
     /// Tells the budget what the connection holds.
     fn update_memory(&mut self) {
         if let Some(memory) = &mut self.memory {
-            memory.update(&*self.runtime, self.conn.held_bytes(), self.conn.unfinished_bytes());
+            let OwnerState { unfinished_bytes, has_requests } = self.owner_state;
+            let conn = &self.conn;
+            let unfinished = || if has_requests { 0 } else { conn.unfinished_bytes() + unfinished_bytes };
+            memory.update(&*self.runtime, conn.held_bytes() + unfinished_bytes, unfinished);
         }
     }
 
@@ -297,10 +318,11 @@
     fn reserve_for_read(&mut self) -> usize {
         let max_bytes = READ_BYTES.min(self.conn.max_read_bytes());
         let Some(memory) = &mut self.memory else { return max_bytes };
-        if memory.reserve(&*self.runtime, self.conn.held_bytes_after(max_bytes)) {
+        let owned = self.owner_state.unfinished_bytes;
+        if memory.reserve(&*self.runtime, self.conn.held_bytes_after(max_bytes) + owned) {
             return max_bytes;
         }
-        max_bytes.min(GUARANTEED_BYTES.saturating_sub(self.conn.held_bytes()))
+        max_bytes.min(memory.guaranteed_rest(self.conn.held_bytes() + owned))
     }
 
     fn poll_read(&mut self, cx: &mut Context<'_>) -> Poll<Turn<C, M::Error>> {
--- a/crates/wire/src/http2/connection/mod.rs
+++ b/crates/wire/src/http2/connection/mod.rs
@@ -46,6 +46,11 @@
 /// Payload of the PING that follows the first GOAWAY of a graceful shutdown.
 const DRAIN_PING: u64 = 0x6472_6169_6e00_0001;
 
+/// Upper bound of the memory of an open stream beside its body, in bytes.
+const STREAM_BYTES: usize = 512;
+/// Memory of the entries of the header table over their size by RFC 7541.
+const FIELD_MEMORY_FACTOR: usize = 4;
+
 // Identifiers of settings (section 6.5.2).
 const SETTINGS_HEADER_TABLE_SIZE: u16 = 1;
 const SETTINGS_ENABLE_PUSH: u16 = 2;
@@ -197,6 +202,23 @@
         !self.input.is_empty() || self.header_block.is_some() || in_preface
     }
 
+    /// Returns the number of bytes that the connection holds: the capacity of its buffers, its header table and its streams.
+    pub fn held_bytes(&self) -> usize {
+        let header_block = self.header_block.as_ref().map_or(0, |block| block.bytes.capacity());
+        let table = self.decoder.table_size() * FIELD_MEMORY_FACTOR;
+        self.input.capacity()
+            + self.output.capacity()
+            + header_block
+            + table
+            + self.streams.len() * STREAM_BYTES
+    }
+
+    /// Returns the number of bytes of a frame or header block that is not complete, and of streams whose message is not.
+    pub fn unfinished_bytes(&self) -> usize {
+        let header_block = self.header_block.as_ref().map_or(0, |block| block.bytes.capacity());
+        self.input.len() + header_block + self.streams.len() * STREAM_BYTES
+    }
+
     /// Returns the number of open streams of both sides.
     pub fn open_streams(&self) -> usize {
         self.streams.len()
--- a/crates/wire/src/http2/hpack.rs
+++ b/crates/wire/src/http2/hpack.rs
@@ -166,6 +166,11 @@
         Decoder { table, max_table_size, scratch: Vec::new() }
     }
 
+    /// Returns the size of the dynamic table in bytes (section 4.1).
+    pub fn table_size(&self) -> usize {
+        self.table.size
+    }
+
     /// Decodes a complete header block. `max_size` limits the total size of its fields, as defined by [`Field::size`].
     ///
     /// # Errors
--- a/crates/wire/src/mqtt/server.rs
+++ b/crates/wire/src/mqtt/server.rs
@@ -446,6 +446,20 @@
         self.state = State::Closed;
     }
 
+    /// Returns the number of bytes that the buffers occupy.
+    pub fn held_bytes(&self) -> usize {
+        self.input.capacity() + self.output.capacity()
+    }
+
+    /// Returns the number of bytes of a packet that is not complete. 0 if a publish has no answer yet.
+    pub fn unfinished_bytes(&self) -> usize {
+        if self.unanswered > 0 {
+            0
+        } else {
+            self.input.len()
+        }
+    }
+
     /// Adds a packet to the output. Returns `false` and sends nothing if it exceeds the client's maximum packet size.
     fn send(&mut self, packet: &Packet) -> bool {
         let Some(version) = self.version else { return false };
