An id is reserved until no attempt of its request can run any more

Callers saw: a client left with requests open and sent the same ids on a new connection; 10 of 20 ids ran twice.

Cause: the ids of a connection's requests were released as soon as it ended, although attempts were written to backends that may run them until their deadline.

Change: the reservation of an id travels with the command, so it lasts as long as driver or a connection has a copy. If a written attempt is given up or its connection breaks, the id stays reserved until the deadline that the backend was told, 0.1 s for the way there, and for a key until the end of its window.

--- a/crates/platform/src/backend/connection.rs
+++ b/crates/platform/src/backend/connection.rs
@@ -7,7 +7,7 @@
 use crate::memory_plan::BACKEND_CONNECTION_BYTES;
 use crate::request::ForwardedCommand;
 use async_channel::Receiver;
-use chalkgap::frontend::{AttemptResult, DriverEvent, OutboundAttempt};
+use chalkgap::frontend::{AttemptResult, DriverEvent, OutboundAttempt, RepeatWindow};
 use chalkgap_core::Outcome;
 use chalkgap_runtime::{Alarm, Micros, Stream};
 use chalkgap_transport::MemoryOwner;
@@ -19,6 +19,9 @@
 /// A reset within this time of the start of an attempt is attributed to the connection rather than to the backend.
 const FIRST_WRITE_MICROS: Micros = 5000;
 
+/// How long a command may be on its way to a backend, which drops it when the time that it was told has passed.
+const MAX_TRANSIT_MICROS: Micros = 100_000;
+
 /// Runs a connection's task until the sender of its commands is dropped.
 pub(super) async fn run(
     context: ConnectionContext,
@@ -173,6 +176,11 @@
             Exchange::new(&self.context, attempt, request, stream, &mut self.commands, &mut self.alarm);
         let reply = future::poll_fn(|cx| exchange.poll(cx)).await;
         if exchange.request_written() {
+            if matches!(reply.outcome, Outcome::Cancelled | Outcome::Reset) {
+                let window_end = attempt.repeat_window.as_ref().and_then(RepeatWindow::end).unwrap_or(0);
+                let latest_start = attempt.deadline + MAX_TRANSIT_MICROS;
+                attempt.work.keep_id_until(latest_start.max(window_end));
+            }
             return reply;
         }
         // A backend starts a command when it has received its last byte. This command was not fully written, so it did not run,
--- a/crates/platform/src/client_connection.rs
+++ b/crates/platform/src/client_connection.rs
@@ -24,14 +24,6 @@
 
 type ClientPipe = Pipe<Response, Session>;
 
-/// A request in flight.
-struct OpenRequest {
-    /// The id under which the driver knows the request.
-    request: RequestId,
-    /// The id that the client gave the request.
-    client_id: u64,
-}
-
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum ClientState {
     Connected,
@@ -74,8 +66,8 @@
     context: FrontendContext,
     permit: Permit,
     response_sender: Sender<Response>,
-    /// Requests in flight, by token.
-    open_requests: HashMap<u32, OpenRequest>,
+    /// The ids under which the driver knows the requests in flight, by token.
+    open_requests: HashMap<u32, RequestId>,
     admitted_at: Micros,
     /// When the partly received command began; `None` if there is none.
     partial_command_since: Option<Micros>,
@@ -216,12 +208,16 @@
     /// Forwards the client's requests to the driver.
     async fn forward_requests(&mut self, pipe: &mut ClientPipe) -> ClientState {
         loop {
-            let next = pipe.conn.next_request(|id| self.context.open_ids().insert(id));
-            let Some(IncomingRequest { token, request }) = next else { return ClientState::Connected };
+            let mut reservation = None;
+            let next = pipe.conn.next_request(|id| {
+                reservation = self.context.open_ids.reserve(self.context.runtime.now(), id);
+                reservation.is_some()
+            });
+            let Some(IncomingRequest { token, mut request }) = next else { return ClientState::Connected };
             self.permit.request_started();
-            let client_id = request.id;
+            request.command.hold_id(reservation);
             let pending = self.context.pending_request(token, request, self.response_sender.clone());
-            self.open_requests.insert(token, OpenRequest { request: pending.id, client_id });
+            self.open_requests.insert(token, pending.id);
             match pipe.hand_over(&self.context.driver, DriverEvent::Request(Box::new(pending))).await {
                 Some(true) => {}
                 Some(false) => pipe.conn.stop_reading(), // the driver has stopped
@@ -243,8 +239,9 @@
     }
 
     fn answer(&mut self, response: Response, session: &mut Session) {
-        let Some(open_request) = self.open_requests.remove(&response.token) else { return };
-        self.context.open_ids().remove(&open_request.client_id);
+        if self.open_requests.remove(&response.token).is_none() {
+            return;
+        }
         let rejected = matches!(response.answer, Answer::Rejected { .. });
         self.permit.request_ended(if rejected { RequestEnd::Rejected } else { RequestEnd::Other });
         session.answer(response.token, response.answer);
@@ -264,10 +261,9 @@
     /// Cancels the requests in flight and returns their tokens.
     async fn cancel_requests(&mut self) -> Vec<u32> {
         let open_requests = std::mem::take(&mut self.open_requests);
-        for open_request in open_requests.values() {
-            self.context.open_ids().remove(&open_request.client_id);
+        for request in open_requests.values() {
             // Fails only when the driver has stopped.
-            let _ = self.context.driver.send(DriverEvent::ClientGone(open_request.request)).await;
+            let _ = self.context.driver.send(DriverEvent::ClientGone(*request)).await;
         }
         open_requests.into_keys().collect()
     }
--- a/crates/platform/src/frontend.rs
+++ b/crates/platform/src/frontend.rs
@@ -1,6 +1,7 @@
 //! The frontend for the platform's protocol. It serves admitted connections and sends `BUSY` on rejected ones.
 
 use crate::client_connection::ClientConnection;
+use crate::open_ids::OpenIds;
 use crate::request::{ForwardedCommand, Request};
 use crate::request_parser::RequestParser;
 use async_channel::Sender;
@@ -10,9 +11,8 @@
 use chalkgap_runtime::{BoxFuture, Micros, Shared, Stream};
 use chalkgap_transport::{linger, MemoryBudget};
 use futures_lite::{future, AsyncWriteExt};
-use std::collections::HashSet;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::Arc;
 
 /// How long the ingress waits for a client to close its side of a connection that the ingress closes.
 pub(crate) const LINGER_MICROS: Micros = 300_000;
@@ -30,17 +30,13 @@
     /// The driver's id for the next request. Clients may reuse their ids, so the driver has its own: a timer of an earlier
     /// request must not affect a later one.
     pub next_request_id: Arc<AtomicU64>,
-    /// The clients' ids of all open requests.
-    pub open_ids: Arc<Mutex<HashSet<u64>>>,
+    /// The ids that clients gave requests that may still run.
+    pub open_ids: Arc<OpenIds>,
     /// When pending requests are answered as failed because the process is about to be killed; 0 before a shutdown.
     pub fail_pending_at: Arc<AtomicU64>,
 }
 
 impl FrontendContext {
-    pub(crate) fn open_ids(&self) -> MutexGuard<'_, HashSet<u64>> {
-        self.open_ids.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
     /// Converts a request to the driver's form. The driver's answer has the same `token`.
     pub(crate) fn pending_request(
         &self,
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -24,6 +24,7 @@
 mod gossip;
 mod ingress;
 mod memory_plan;
+mod open_ids;
 pub mod pool;
 mod reply_queue;
 pub mod request;
--- a/crates/platform/src/request.rs
+++ b/crates/platform/src/request.rs
@@ -1,5 +1,6 @@
 //! A client's request, and the command that is forwarded to backends.
 
+use crate::open_ids::IdReservation;
 use bytes::{Buf, Bytes, BytesMut};
 use chalkgap_core::Micros;
 use chalkgap_resp::{put_array_header, put_bulk, put_bulk_header};
@@ -88,23 +89,39 @@
 
 /// A client's command, which is forwarded unchanged except for the deadline: it is replaced by the remaining time.
 #[derive(Clone, Debug)]
-pub struct ForwardedCommand(Arc<CommandParts>);
+pub struct ForwardedCommand {
+    parts: Arc<CommandParts>,
+    /// Keeps the request's id reserved for as long as a copy of the command exists.
+    id: Option<Arc<IdReservation>>,
+}
 
 impl ForwardedCommand {
     /// Creates a command. `deadline` is the range of the deadline's digits in the attribute list.
     pub(crate) fn new(arguments: Vec<Bytes>, deadline: Range<usize>) -> ForwardedCommand {
-        ForwardedCommand(Arc::new(CommandParts { arguments, deadline }))
+        ForwardedCommand { parts: Arc::new(CommandParts { arguments, deadline }), id: None }
+    }
+
+    /// Holds the reservation of the request's id until the last copy of the command is dropped.
+    pub(crate) fn hold_id(&mut self, id: Option<IdReservation>) {
+        self.id = id.map(Arc::new);
+    }
+
+    /// Keeps the request's id reserved until this time, because a backend may begin to run the command until then.
+    pub(crate) fn keep_id_until(&self, until: Micros) {
+        if let Some(id) = &self.id {
+            id.keep_until(until);
+        }
     }
 
     /// Writes the command, with `remaining_millis` in place of the client's deadline.
     pub fn encode(&self, out: &mut BytesMut, remaining_millis: u64) {
-        put_array_header(out, self.0.arguments.len());
-        self.encode_arguments(out, self.0.arguments.len(), remaining_millis);
+        put_array_header(out, self.parts.arguments.len());
+        self.encode_arguments(out, self.parts.arguments.len(), remaining_millis);
     }
 
     /// Writes the first `count` arguments.
     fn encode_arguments(&self, out: &mut BytesMut, count: usize, remaining_millis: u64) {
-        let CommandParts { arguments, deadline } = &*self.0;
+        let CommandParts { arguments, deadline } = &*self.parts;
         for (index, argument) in arguments[..count].iter().enumerate() {
             if index != ATTRIBUTES_INDEX {
                 put_bulk(out, argument);
@@ -120,7 +137,7 @@
 
     /// Returns the command as [`encode`](ForwardedCommand::encode) writes it, without a copy of a long body.
     pub(crate) fn to_unwritten(&self, remaining_millis: u64) -> UnwrittenCommand {
-        let arguments = &self.0.arguments;
+        let arguments = &self.parts.arguments;
         let mut first = BytesMut::with_capacity(256);
         let body = match arguments.last() {
             Some(body) if arguments.len() > ATTRIBUTES_INDEX + 1 && body.len() >= MIN_LONG_BODY_BYTES => body,
