What stands behind pending commands is read on within a bound

Callers saw: a client sent 32 commands and 300 of 64 KB behind them, read its answers and left; 30 attempts of its requests began 0.4 s later.

Cause: with 32 commands pending the connection was not read. The end of a connection stands behind its last byte, so with a full window no FIN arrives, and with each answer another command was begun.

Change: bytes are read while fewer than 68 KB are unparsed. Behind a full buffer commands are rejected with -BUSY in their place, up to 8,192 of them at the end (one slot, however many); so the end of the connection is read. The timeout of a partial command runs only while commands are parsed, as before.

--- a/crates/platform/src/client_connection.rs
+++ b/crates/platform/src/client_connection.rs
@@ -229,7 +229,7 @@
     /// Updates the start time of the partly received command. A client that pipelines commands may always have a part of one in
     /// the buffer, so the time restarts with each complete command.
     fn update_partial_command(&mut self, commands_before: u64, session: &Session) {
-        let awaits_rest = session.has_partial_command() && session.wants_input();
+        let awaits_rest = session.has_partial_command() && session.parses_commands();
         let command_completed = commands_before != session.commands_received();
         self.partial_command_since = match self.partial_command_since {
             _ if !awaits_rest => None,
--- a/crates/platform/src/session.rs
+++ b/crates/platform/src/session.rs
@@ -22,10 +22,13 @@
     max_line_bytes: 24,
     max_item_bytes: (64 << 10) + 4096,
 };
-/// Maximum number of commands of one connection that await their replies. While it is reached, no further commands are read.
+/// Maximum number of commands of one connection that await their replies. While it is reached, further ones stay unparsed.
 pub const MAX_PENDING_COMMANDS: usize = 32;
-/// No further bytes are read while this many are unparsed. Bytes stay unparsed while `MAX_PENDING_COMMANDS` is reached.
+/// While this many bytes are unparsed, commands are rejected. Reading goes on, because the end of a connection stands behind its
+/// last byte.
 const MAX_BUFFERED_BYTES: usize = COMMAND_LIMITS.max_item_bytes;
+/// Maximum number of commands that are rejected behind pending ones. Beyond it no further bytes are read.
+const MAX_REJECTED_COMMANDS: usize = 8192;
 
 /// About this many commands are parsed after one read, if all are short.
 const COMMANDS_PER_READ: u64 = 32;
@@ -40,6 +43,8 @@
     Encoded(Bytes),
     /// The request's answer, which is not encoded yet.
     Answered(Answer),
+    /// A number of commands that were rejected because too many were pending before them.
+    Rejected(usize),
 }
 
 /// What happens to the client's input. A connection passes through the phases in this order and may skip some.
@@ -135,7 +140,8 @@
     ///
     /// `reserve_id` is called with the id of each valid request. It returns false if another open request has the same id.
     pub fn next_request(&mut self, mut reserve_id: impl FnMut(u64) -> bool) -> Option<IncomingRequest> {
-        while self.phase != ReadPhase::Stopped && self.slots.len() < self.max_pending_commands() {
+        while self.parses_commands() || self.rejects_commands() {
+            let is_rejected = !self.parses_commands();
             let command = match self.input.take_command(&COMMAND_LIMITS, &self.memory) {
                 Ok(Some(command)) => command,
                 Ok(None) => break,
@@ -145,6 +151,10 @@
                 }
             };
             self.commands_received += 1;
+            if is_rejected {
+                self.reject_command();
+                continue;
+            }
             match self.parse_command(command, &mut reserve_id) {
                 Ok(request) => {
                     let token = self.first_token.wrapping_add(self.slots.len() as u32);
@@ -158,6 +168,28 @@
         None
     }
 
+    /// Whether the next command is parsed when it is complete.
+    pub fn parses_commands(&self) -> bool {
+        self.phase != ReadPhase::Stopped && self.slots.len() < self.max_pending_commands()
+    }
+
+    /// Whether the next command is rejected because the buffer is full of commands behind pending ones.
+    fn rejects_commands(&self) -> bool {
+        self.phase != ReadPhase::Stopped && self.input.len() >= MAX_BUFFERED_BYTES && self.may_reject()
+    }
+
+    fn may_reject(&self) -> bool {
+        !matches!(self.slots.back(), Some(ReplySlot::Rejected(MAX_REJECTED_COMMANDS..)))
+    }
+
+    /// Rejects a command behind pending ones.
+    fn reject_command(&mut self) {
+        match self.slots.back_mut() {
+            Some(ReplySlot::Rejected(count)) => *count += 1,
+            _ => self.slots.push_back(ReplySlot::Rejected(1)),
+        }
+    }
+
     /// Parses a command into a request. Returns the encoded reply to a command that needs no backend.
     fn parse_command(
         &self,
@@ -226,9 +258,7 @@
 
     /// Whether the caller should read bytes from the client now.
     pub fn wants_input(&self) -> bool {
-        self.phase != ReadPhase::Stopped
-            && self.slots.len() < self.max_pending_commands()
-            && self.input.len() < MAX_BUFFERED_BYTES
+        self.phase != ReadPhase::Stopped && (self.input.len() < MAX_BUFFERED_BYTES || self.rejects_commands())
     }
 
     /// Whether the client has sent a part of a command, or no command yet.
@@ -260,7 +290,7 @@
     pub fn pending_requests(&self) -> impl Iterator<Item = (u32, u64)> + '_ {
         self.slots.iter().zip(0u32..).filter_map(|(slot, offset)| match slot {
             ReplySlot::Pending(id) => Some((self.first_token.wrapping_add(offset), *id)),
-            ReplySlot::Encoded(_) | ReplySlot::Answered(_) => None,
+            ReplySlot::Encoded(_) | ReplySlot::Answered(_) | ReplySlot::Rejected(_) => None,
         })
     }
 
@@ -284,6 +314,9 @@
             match self.slots.pop_front() {
                 Some(ReplySlot::Encoded(bytes)) => self.replies.push(|out| out.extend_from_slice(&bytes)),
                 Some(ReplySlot::Answered(answer)) => push_answer(&mut self.replies, answer),
+                Some(ReplySlot::Rejected(count)) => {
+                    self.replies.push(|out| (0..count).for_each(|_| put_error(out, "BUSY")));
+                }
                 Some(ReplySlot::Pending(_)) | None => {}
             }
             self.first_token = self.first_token.wrapping_add(1);
--- a/crates/platform/tests/whole_path.rs
+++ b/crates/platform/tests/whole_path.rs
@@ -159,7 +159,8 @@
     }
 }
 
-/// A request with the id of an open one is rejected, and the open request is not affected. The id is free again after that.
+/// A request with the id of an open one is rejected, and the open request is not affected. The id is free again when its attempt,
+/// which got no answer, cannot run any more and the window of its key has passed.
 #[test]
 fn an_open_id_cannot_be_reused() {
     let fixture = Fixture::start(vec![always(BackendAction::NoReply)]);
@@ -168,10 +169,14 @@
     while fixture.received_commands() == 0 {
         std::thread::sleep(Duration::from_millis(5));
     }
+    let window_end = Instant::now() + Duration::from_secs(5);
     other.submit(5);
     assert_eq!(other.reply_text(), "-ERR id: a request of this id is open");
     assert_eq!(owner.reply_text(), "-ERR no answer in time");
     other.submit(5);
+    assert_eq!(other.reply_text(), "-ERR id: a request of this id is open", "its attempt may still run");
+    std::thread::sleep(window_end.saturating_duration_since(Instant::now()));
+    other.submit(5);
     assert!(other.reply_text() != "-ERR id: a request of this id is open", "the id is free again");
 }
 
