A connection and an attempt belong to one process, not to an address

Callers would have seen: work at the wrong place. An attempt that waited for its connection was written to another backend that had taken the address of its own (new host, same dial), also a draining one; and idle connections to a backend's process were used for requests to the process that a list had named after it (same host, new born_ms).

Cause: the driver compared only whether a backend is listed, not where and since when. Both changes keep the backend listed.

Change: the driver keeps address and start of each listed process. If either changes, connections of the old process close after their attempt, idle ones at once, and attempts that are not written are withdrawn (never ran). What the core had learnt was reset for a new start already.

Evidence: nothing_is_written_to_a_backend_that_took_the_address_of_another and no_connection_outlives_the_process_of_its_backend failed on the old driver (the whole command arrived at the newcomer; one connection for both lives) and pass. The first form of the first test passed on the old driver: a second attempt was answered before, so the test allows one attempt only.

--- a/crates/gateway/src/driver/endpoints.rs
+++ b/crates/gateway/src/driver/endpoints.rs
@@ -1,6 +1,6 @@
 //! Applies endpoint lists and changes to them.
 
-use super::Driver;
+use super::{Driver, ListedProcess};
 use crate::messages::Upstream;
 use crate::node_list::NodeList;
 use crate::telemetry::add;
@@ -36,32 +36,40 @@
 
     /// Applies a snapshot of the endpoints or a change to them.
     pub(super) fn on_endpoints(&mut self, update: EndpointUpdate, endpoints: Vec<(Endpoint, SocketAddr)>) {
-        if matches!(update, EndpointUpdate::Snapshot | EndpointUpdate::Cached) {
-            self.addresses.clear();
-        }
+        let before = match update {
+            EndpointUpdate::Snapshot | EndpointUpdate::Cached => std::mem::take(&mut self.addresses),
+            EndpointUpdate::Delta | EndpointUpdate::Failed => self.addresses.clone(),
+        };
         for (endpoint, address) in &endpoints {
             if endpoint.availability == Availability::Gone {
                 self.addresses.remove(&endpoint.backend);
             } else {
-                self.addresses.insert(endpoint.backend, *address);
+                let process = ListedProcess { address: *address, started_at: endpoint.started_at };
+                self.addresses.insert(endpoint.backend, process);
             }
         }
+        // Another process is at the end of their connections now, or none.
         let addresses = &self.addresses;
-        self.connections.retain(&|backend| addresses.contains_key(&backend));
+        let replaced: BTreeSet<BackendId> = before
+            .into_iter()
+            .filter(|(backend, process)| addresses.get(backend).is_some_and(|current| current != process))
+            .map(|(backend, _)| backend)
+            .collect();
+        self.connections.retain(&|backend| addresses.contains_key(&backend) && !replaced.contains(&backend));
         let not_ready = endpoints.iter().filter(|(endpoint, _)| endpoint.availability != Availability::Ready);
-        let not_ready = not_ready.map(|(endpoint, _)| endpoint.backend).collect();
-        self.cancel_unsent_attempts_to(&not_ready);
+        let not_ready = not_ready.map(|(endpoint, _)| endpoint.backend);
+        self.cancel_unsent_attempts_to(&not_ready.chain(replaced).collect());
         let endpoints = endpoints.into_iter().map(|(endpoint, _)| endpoint).collect();
         self.handle(Event::Endpoints(update, endpoints));
     }
 
-    /// Cancels the attempts that are not written yet and whose backend is not ready or no longer listed. Otherwise they
-    /// would reach a draining backend, possibly after its grace period.
-    fn cancel_unsent_attempts_to(&mut self, not_ready: &BTreeSet<BackendId>) {
+    /// Cancels the attempts that are not written yet and whose backend is one of `unusable` or no longer listed. Otherwise
+    /// they would reach a draining backend, possibly after its grace period, or another process than the one chosen.
+    fn cancel_unsent_attempts_to(&mut self, unusable: &BTreeSet<BackendId>) {
         for (id, in_flight) in self.in_flight.iter() {
             for (number, attempt) in in_flight.attempts_on_connections() {
                 let listed = self.addresses.contains_key(&attempt.backend);
-                if !listed || not_ready.contains(&attempt.backend) {
+                if !listed || unusable.contains(&attempt.backend) {
                     self.connections.cancel_unsent(attempt.connection, id, number);
                 }
             }
--- a/crates/gateway/src/driver/mod.rs
+++ b/crates/gateway/src/driver/mod.rs
@@ -54,6 +54,14 @@
     pub rejection_retry_after: Micros,
 }
 
+/// Where the process of a listed endpoint is reached, and which process that is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct ListedProcess {
+    address: SocketAddr,
+    /// When it started; 0 if that is long ago.
+    started_at: Micros,
+}
+
 /// A gossip message of the core, with the id of the peer that it is sent to.
 pub type OutboundGossip = (u16, Vec<u8>);
 
@@ -77,7 +85,7 @@
     actions: Vec<Action>,
     endpoint_ids: EndpointIds,
     /// Addresses of all listed endpoints whose availability is not `Gone`.
-    addresses: BTreeMap<BackendId, SocketAddr>,
+    addresses: BTreeMap<BackendId, ListedProcess>,
     list_cache: Option<Sender<NodeList>>,
 }
 
--- a/crates/platform/tests/backend_connections.rs
+++ b/crates/platform/tests/backend_connections.rs
@@ -3,7 +3,7 @@
 
 use chalkgap_runtime::faulty_runtime::FaultyRuntime;
 use chalkgap_runtime::Stream;
-use common::{discovery, known, BackendAction, Journal, Latch, GOOD_REPLY};
+use common::{backend, discovery, known, BackendAction, Journal, Latch, GOOD_REPLY};
 use rig::{first, ms, next_command, scripted, wait_until, Fixture, FullListener, UnacknowledgedStream};
 use std::io::Write;
 use std::sync::Arc;
@@ -208,3 +208,65 @@
         assert_eq!(client.reply_text(), "+PONG", "the client got a second reply");
     }
 }
+
+/// Returns the record of a backend in a list.
+fn record(name: &str, port: u16, health: &str, started_at_millis: u64) -> String {
+    let list = known(&[port]);
+    let record = &list[list.find('[').unwrap() + 1..list.rfind(']').unwrap()];
+    record
+        .replace(&format!("\"host\":\"s-{port}\""), &format!("\"host\":\"{name}\""))
+        .replace("\"ready\"", &format!("\"{health}\""))
+        .replace("\"born_ms\":0", &format!("\"born_ms\":{started_at_millis}"))
+}
+
+/// An attempt that waited for its connection was written to another backend, which had taken the address of its own one.
+#[test]
+fn nothing_is_written_to_a_backend_that_took_the_address_of_another() {
+    let listener = FullListener::new();
+    let changes = [
+        ("\"connect_timeout_us\":250000", "\"connect_timeout_us\":5000000"),
+        ("\"most_tries\":3", "\"most_tries\":1"), // a further attempt would be answered first
+    ];
+    let fixture = Fixture::start_with_ports(Journal::default(), &[listener.port], &changes);
+    wait_until("a watch", || !fixture.discovery.watches.lock().unwrap().is_empty());
+    let mut client = fixture.client();
+    client.query(1, 4000);
+    listener.wait_for_syn();
+    let other = backend(Journal::default(), |_, _| BackendAction::Reply(GOOD_REPLY));
+    let moved = record(&format!("s-{}", listener.port), other, "ready", 0);
+    let newcomer = record("s-newcomer", listener.port, "draining", 0);
+    fixture.discovery.send_change(&format!("{{\"seq\":2,\"whole\":false,\"hosts\":[{moved},{newcomer}]}}"));
+    assert_eq!(listener.accept_and_read(ms(2500)), b"", "the newcomer drains");
+    assert!(client.reply_text().starts_with("-BUSY"), "the request did not run");
+}
+
+/// A connection to the process that a backend had before its restart was used for requests to the new one.
+#[test]
+fn no_connection_outlives_the_process_of_its_backend() {
+    let connections = Arc::new(std::sync::atomic::AtomicUsize::new(0));
+    let port = {
+        let connections = connections.clone();
+        scripted(move |_, mut stream| {
+            connections.fetch_add(1, std::sync::atomic::Ordering::SeqCst);
+            let mut buffer = bytes::BytesMut::new();
+            while next_command(&mut stream, &mut buffer).is_some() {
+                stream.write_all(GOOD_REPLY).unwrap();
+            }
+        })
+    };
+    let fixture = Fixture::start_with_ports(Journal::default(), &[port], &[]);
+    wait_until("a watch", || !fixture.discovery.watches.lock().unwrap().is_empty());
+    let mut client = fixture.client();
+    for id in 1..4 {
+        client.query(id, 4000);
+        assert_eq!(client.reply_text(), "value");
+        std::thread::sleep(ms(50));
+    }
+    assert_eq!(connections.load(std::sync::atomic::Ordering::SeqCst), 1);
+    let restarted = record(&format!("s-{port}"), port, "ready", 1_700_000_000_000);
+    fixture.discovery.send_change(&format!("{{\"seq\":2,\"whole\":false,\"hosts\":[{restarted}]}}"));
+    std::thread::sleep(ms(100));
+    client.query(4, 4000);
+    assert_eq!(client.reply_text(), "value");
+    assert_eq!(connections.load(std::sync::atomic::Ordering::SeqCst), 2, "of the old and the new process");
+}
