A peer that restarts with an earlier clock is heard after 3 s

Cause: a gateway's incarnation is its wall clock at the start. If the clock was set back between two lives, peers dropped all that the new one said until the clock had caught up: an hour of quota reports, limits in flight and verdicts lost.

Change: a message of an earlier incarnation counts as late only within 3 s of the latest message of the current one; a process that has been silent for longer and speaks with an earlier clock has restarted.

Evidence: a_peer_that_restarts_with_an_earlier_clock_is_heard failed with the old rule (the restarted peer's unit was not counted) and passes.

--- a/crates/core/src/customer.rs
+++ b/crates/core/src/customer.rs
@@ -101,6 +101,8 @@
 pub struct Peer {
     /// Its incarnation in its latest message; 0 before the first message.
     pub incarnation: u32,
+    /// When the latest message of that incarnation arrived.
+    pub heard_at: Micros,
     /// Sequence number of its latest message.
     pub last_received: u16,
     /// Sequence number of the latest message to it.
--- a/crates/core/src/quota_gossip/mod.rs
+++ b/crates/core/src/quota_gossip/mod.rs
@@ -16,7 +16,7 @@
 use crate::customer::PendingReport;
 use crate::endpoints::{AnswerSample, SampleSource};
 use crate::gossip::{incarnation_at, is_later, Body, Message, Sample};
-use crate::interface::{Action, CustomerId, GatewayId};
+use crate::interface::{Action, CustomerId, GatewayId, Micros};
 use crate::ownership::CUSTOMER_IDLE_TIME;
 use crate::{FleetSize, Gateway};
 use std::collections::BTreeMap;
@@ -24,6 +24,9 @@
 /// A peer is older than this gateway if it started more than this many milliseconds earlier: the gateways of a fleet do
 /// not all start at the same instant.
 const MIN_AGE_DIFFERENCE_MILLIS: u32 = 1_000;
+/// A message of an earlier incarnation is late if it arrives within this time of the latest message of the current one.
+/// Otherwise the sender has restarted, and its clock was set back before.
+const MAX_MESSAGE_DELAY: Micros = 3_000_000;
 /// Customers that were active within the idle time divided by this are reported to a peer that has restarted.
 const RECENT_ACTIVITY_DIVISOR: u64 = 5;
 
@@ -78,7 +81,8 @@
         let peer = self.peers.entry(from).or_default();
         if peer.incarnation != message.incarnation {
             let is_first_contact = peer.incarnation == 0;
-            if !is_first_contact && is_later(peer.incarnation, message.incarnation) {
+            let is_earlier = !is_first_contact && is_later(peer.incarnation, message.incarnation);
+            if is_earlier && self.now < peer.heard_at + MAX_MESSAGE_DELAY {
                 return Freshness::Stale;
             }
             peer.incarnation = message.incarnation;
@@ -90,6 +94,7 @@
             }
         }
         let Some(peer) = self.peers.get_mut(&from) else { return Freshness::Stale };
+        peer.heard_at = self.now;
         if message.sequence.wrapping_sub(peer.last_received) as i16 <= 0 {
             return Freshness::Stale;
         }
--- a/crates/core/tests/quota_gossip.rs
+++ b/crates/core/tests/quota_gossip.rs
@@ -90,6 +90,40 @@
     assert!(!is_rejected(&harness.request(0, 1, 9, 3.5).1));
 }
 
+/// A peer whose clock was set back before its restart was ignored until the clock had caught up.
+#[test]
+fn a_peer_that_restarts_with_an_earlier_clock_is_heard() {
+    const HOUR: Micros = 3600 * SECOND;
+    let start = |number: u16, now: Micros| {
+        let gateway = Gateway::new(Settings { self_id: GatewayId(number), ..settings() }, 7, now);
+        let mut harness = Harness { gateway, now, next_request: 0 };
+        harness.handle(Event::Endpoints(EndpointUpdate::Cached, (0..4).map(endpoint).collect()));
+        harness
+    };
+    let messages = |harness: &mut Harness, units: f64| -> Vec<Vec<u8>> {
+        let first = harness.request(0, 1, 9, units).1;
+        let actions = first.into_iter().chain(harness.advance(300_000));
+        actions
+            .filter_map(|a| if let Action::SendGossip { bytes, .. } = a { Some(bytes) } else { None })
+            .collect()
+    };
+    let mut harness = start(0, 10 * HOUR);
+    let before = messages(&mut start(1, 10 * HOUR), 0.5);
+    let after = messages(&mut start(1, 9 * HOUR), 1.0);
+    let hear = |harness: &mut Harness, all: &[Vec<u8>]| {
+        for bytes in all {
+            harness.handle(Event::GossipReceived { from: GatewayId(1), bytes: bytes.clone() });
+        }
+    };
+    hear(&mut harness, &before);
+    harness.advance(4 * SECOND);
+    harness.request(0, 1, 9, 0.5);
+    hear(&mut harness, &after);
+    // Of 6 units this gateway used 0.5 and the restarted peer 1, which counts.
+    assert!(is_rejected(&harness.request(0, 1, 9, 5.0).1));
+    assert!(!is_rejected(&harness.request(0, 1, 9, 3.5).1));
+}
+
 #[test]
 fn gossip_reports_every_customer_in_turn() {
     let mut harness = Harness::with(settings(), 4);
