Memory of idle backend connections and of past deadlines is given back

Both were traced and are one fault.

Cause: after a crowd 83 idle connections to backends hold on to pages for 5 to 9 s; when they close, less than the 0.5 MB that triggered a release is freed by their count, so nothing was given back (fds 113 -> 30, resident 12,132 kB unchanged). Besides, the driver's queues of deadlines never shrank, and a client's response channel of 32 was allocated as a whole for each connection.

Change: a release follows 128 KB less held; the queues shrink; the channel is unbounded, as its sender is bounded by the commands.

--- a/crates/gateway/src/driver/timers.rs
+++ b/crates/gateway/src/driver/timers.rs
@@ -29,6 +29,18 @@
     last_sequence: u64,
 }
 
+/// A queue of this capacity keeps it however few entries it has.
+const MIN_CAPACITY: usize = 1024;
+/// A queue gives memory back when fewer entries than its capacity divided by this are left.
+const SHRINK_DIVISOR: usize = 8;
+
+/// Gives back most of the memory of a queue that was much longer before.
+fn shrink<T: Ord>(queue: &mut BinaryHeap<T>) {
+    if queue.capacity() > MIN_CAPACITY && queue.len() < queue.capacity() / SHRINK_DIVISOR {
+        queue.shrink_to(2 * queue.len());
+    }
+}
+
 impl Timers {
     /// Sets a timer of the core.
     pub fn set_core_timer(&mut self, due_at: Micros, token: u32) {
@@ -51,12 +63,16 @@
     /// Removes and returns the next deadline that is due at `now`.
     pub fn pop_attempt_deadline(&mut self, now: Micros) -> Option<AttemptDeadline> {
         self.attempt_deadlines.peek().filter(|deadline| deadline.0.due_at <= now)?;
-        self.attempt_deadlines.pop().map(|deadline| deadline.0)
+        let deadline = self.attempt_deadlines.pop().map(|deadline| deadline.0);
+        shrink(&mut self.attempt_deadlines);
+        deadline
     }
 
     /// Removes the next timer of the core that is due at `now` and returns its token.
     pub fn pop_core_timer(&mut self, now: Micros) -> Option<u32> {
         self.core_timers.peek().filter(|timer| timer.0.due_at <= now)?;
-        self.core_timers.pop().map(|timer| timer.0.token)
+        let token = self.core_timers.pop().map(|timer| timer.0.token);
+        shrink(&mut self.core_timers);
+        token
     }
 }
--- a/crates/gateway/src/memory.rs
+++ b/crates/gateway/src/memory.rs
@@ -10,7 +10,7 @@
 /// Shortest time between two reports.
 const REPORT_INTERVAL_MICROS: Micros = 5_000_000;
 /// Freed memory is returned once this much less is held than before.
-const MIN_RELEASED_BYTES: usize = 512 << 10;
+const MIN_RELEASED_BYTES: usize = 128 << 10;
 
 /// The part of the limit that is kept free, as a divisor.
 const SPARE_DIVISOR: u64 = 10;
--- a/crates/platform/src/client_connection.rs
+++ b/crates/platform/src/client_connection.rs
@@ -3,7 +3,7 @@
 
 use crate::frontend::{FrontendContext, LINGER_MICROS};
 use crate::memory_plan::{CLIENT_CONNECTION_BYTES, GUARANTEED_CLIENT_BYTES};
-use crate::session::{IncomingRequest, Session, MAX_PENDING_COMMANDS};
+use crate::session::{IncomingRequest, Session};
 use async_channel::Sender;
 use chalkgap::frontend::{Answer, DriverEvent, Permit, RequestEnd, Response};
 use chalkgap::telemetry::add;
@@ -81,7 +81,8 @@
     /// Serves a connection until it is closed.
     pub(crate) async fn serve(context: FrontendContext, stream: Box<dyn Stream>, permit: Permit) {
         let _memory = context.memory.draw(MemoryOwner::Connections, CLIENT_CONNECTION_BYTES);
-        let (response_sender, responses) = async_channel::bounded(MAX_PENDING_COMMANDS);
+        // The pending commands bound it. A bounded channel would allocate its whole capacity, even for an idle connection.
+        let (response_sender, responses) = async_channel::unbounded();
         let session = Session::new(context.parser.clone()).with_memory(context.memory.clone());
         let mut pipe = Pipe::new(context.runtime.clone(), stream, session, responses, permit.signal.clone())
             .with_memory(context.memory.clone(), GUARANTEED_CLIENT_BYTES);
