Driver: replaced processes are found while the list is applied

The whole map of listed processes was copied for each change of the list and compared afterwards; with 3,200 backends that is 3,200 entries for one that changed. What an entry replaces is known when it is inserted. The field is named for what it holds now, and a queue of deadlines shrinks to the capacity that its comment promises. Behaviour stays as it is.

--- a/crates/gateway/src/driver/attempts.rs
+++ b/crates/gateway/src/driver/attempts.rs
@@ -26,7 +26,7 @@
         start_by: Micros,
     ) {
         let now = self.runtime.now();
-        let address = self.addresses.get(&backend).map(|process| process.address);
+        let address = self.listed.get(&backend).map(|process| process.address);
         let Some(in_flight) = self.in_flight.get_mut(id) else { return };
         let attempt = in_flight.attempts.len() as u16;
         let request = &in_flight.request;
@@ -80,7 +80,7 @@
         attempt.awaiting_ledger = false;
         attempt.started_at = now;
         let backend = attempt.backend;
-        let address = self.addresses.get(&backend).map(|process| process.address);
+        let address = self.listed.get(&backend).map(|process| process.address);
         match address.and_then(|address| self.connections.start(backend, address, call)) {
             Some(connection) => attempt.connection = connection,
             // No connection has capacity, or the backend is no longer listed: nothing was written.
--- a/crates/gateway/src/driver/endpoints.rs
+++ b/crates/gateway/src/driver/endpoints.rs
@@ -5,7 +5,7 @@
 use crate::node_list::NodeList;
 use crate::telemetry::add;
 use chalkgap_core::{Availability, BackendId, Endpoint, EndpointUpdate, Event};
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 impl<U: Upstream> Driver<U> {
@@ -36,26 +36,27 @@
 
     /// Applies a snapshot of the endpoints or a change to them.
     pub(super) fn on_endpoints(&mut self, update: EndpointUpdate, endpoints: Vec<(Endpoint, SocketAddr)>) {
-        let before = match update {
-            EndpointUpdate::Snapshot | EndpointUpdate::Cached => std::mem::take(&mut self.addresses),
-            EndpointUpdate::Delta | EndpointUpdate::Failed => self.addresses.clone(),
+        let mut before = match update {
+            EndpointUpdate::Snapshot | EndpointUpdate::Cached => std::mem::take(&mut self.listed),
+            EndpointUpdate::Delta | EndpointUpdate::Failed => BTreeMap::new(),
         };
+        // Another process is at the end of their connections now.
+        let mut replaced = BTreeSet::new();
         for (endpoint, address) in &endpoints {
             if endpoint.availability == Availability::Gone {
-                self.addresses.remove(&endpoint.backend);
-            } else {
-                let process = ListedProcess { address: *address, started_at: endpoint.started_at };
-                self.addresses.insert(endpoint.backend, process);
+                let removed = self.listed.remove(&endpoint.backend);
+                before.extend(removed.map(|process| (endpoint.backend, process)));
+                continue;
+            }
+            let process = ListedProcess { address: *address, started_at: endpoint.started_at };
+            let previous = self.listed.insert(endpoint.backend, process);
+            let previous = previous.or_else(|| before.get(&endpoint.backend).copied());
+            if previous.is_some_and(|previous| previous != process) {
+                replaced.insert(endpoint.backend);
             }
         }
-        // Another process is at the end of their connections now, or none.
-        let addresses = &self.addresses;
-        let replaced: BTreeSet<BackendId> = before
-            .into_iter()
-            .filter(|(backend, process)| addresses.get(backend).is_some_and(|current| current != process))
-            .map(|(backend, _)| backend)
-            .collect();
-        self.connections.retain(&|backend| addresses.contains_key(&backend) && !replaced.contains(&backend));
+        let listed = &self.listed;
+        self.connections.retain(&|backend| listed.contains_key(&backend) && !replaced.contains(&backend));
         let not_ready = endpoints.iter().filter(|(endpoint, _)| endpoint.availability != Availability::Ready);
         let not_ready = not_ready.map(|(endpoint, _)| endpoint.backend);
         self.cancel_unsent_attempts_to(&not_ready.chain(replaced).collect());
@@ -68,7 +69,7 @@
     fn cancel_unsent_attempts_to(&mut self, unusable: &BTreeSet<BackendId>) {
         for (id, in_flight) in self.in_flight.iter() {
             for (number, attempt) in in_flight.attempts_on_connections() {
-                let listed = self.addresses.contains_key(&attempt.backend);
+                let listed = self.listed.contains_key(&attempt.backend);
                 if !listed || unusable.contains(&attempt.backend) {
                     self.connections.cancel_unsent(attempt.connection, id, number);
                 }
--- a/crates/gateway/src/driver/mod.rs
+++ b/crates/gateway/src/driver/mod.rs
@@ -84,8 +84,8 @@
     /// Empty between events; its allocation is reused.
     actions: Vec<Action>,
     endpoint_ids: EndpointIds,
-    /// Addresses of all listed endpoints whose availability is not `Gone`.
-    addresses: BTreeMap<BackendId, ListedProcess>,
+    /// The processes of all listed endpoints whose availability is not `Gone`.
+    listed: BTreeMap<BackendId, ListedProcess>,
     list_cache: Option<Sender<NodeList>>,
 }
 
@@ -114,7 +114,7 @@
             queue: VecDeque::new(),
             actions: Vec::new(),
             endpoint_ids: EndpointIds::new(HashMap::new(), 0),
-            addresses: BTreeMap::new(),
+            listed: BTreeMap::new(),
             list_cache: None,
         }
     }
--- a/crates/gateway/src/driver/timers.rs
+++ b/crates/gateway/src/driver/timers.rs
@@ -37,7 +37,7 @@
 /// Gives back most of the memory of a queue that was much longer before.
 fn shrink<T: Ord>(queue: &mut BinaryHeap<T>) {
     if queue.capacity() > MIN_CAPACITY && queue.len() < queue.capacity() / SHRINK_DIVISOR {
-        queue.shrink_to(2 * queue.len());
+        queue.shrink_to(MIN_CAPACITY.max(2 * queue.len()));
     }
 }
 
