--- a/crates/platform/tests/rig/mod.rs
+++ b/crates/platform/tests/rig/mod.rs
@@ -393,6 +393,15 @@
     out.to_vec()
 }
 
+/// Encodes a submit of the customer `id` with this id, key and body, and a deadline of five seconds.
+pub fn submit(id: u64, body: &str) -> Vec<u8> {
+    let mut out = bytes::BytesMut::new();
+    let id = format!("{id:016x}");
+    let attributes = format!("c=report-upload,t=team,d=5000,k={id},units=1,spread=1,first=0");
+    put_command(&mut out, &["SVC.SUBMIT", &id, &id, &attributes, body].map(str::as_bytes));
+    out.to_vec()
+}
+
 /// Encodes `count` queries with ids from `first` on.
 pub fn queries(first: u64, count: u64) -> Vec<u8> {
     (first..first + count).flat_map(query).collect()
