--- a/crates/platform/src/endpoint_set.rs
+++ b/crates/platform/src/endpoint_set.rs
@@ -90,7 +90,7 @@
 
     /// Whether a list has been applied.
     pub fn has_list(&self) -> bool {
-        !self.ready.is_empty() || !self.withdrawn.is_empty()
+        !self.is_empty()
     }
 
     /// Returns the version of the current list.
--- a/crates/platform/src/memory_plan.rs
+++ b/crates/platform/src/memory_plan.rs
@@ -10,6 +10,7 @@
 pub(crate) const CLIENT_CONNECTION_BYTES: usize = 8 << 10;
 /// The same for a connection to a backend.
 pub(crate) const BACKEND_CONNECTION_BYTES: usize = 4 << 10;
+
 /// What an ingress holds that does not depend on what peers send.
 pub(crate) struct FixedMemory {
     /// Resident memory of the process before it serves anybody.
--- a/crates/transport/src/memory_budget.rs
+++ b/crates/transport/src/memory_budget.rs
@@ -97,11 +97,6 @@
         self.held_by_owner[owner as usize].load(Ordering::Relaxed)
     }
 
-    /// Returns the size of the budget in bytes.
-    pub fn max_bytes(&self) -> usize {
-        self.max_bytes
-    }
-
     /// Whether `owner` may not draw more at present.
     pub fn is_exhausted_for(&self, owner: MemoryOwner) -> bool {
         self.held_bytes() >= self.share(owner)
--- a/crates/wire/src/http2/connection/mod.rs
+++ b/crates/wire/src/http2/connection/mod.rs
@@ -204,19 +204,21 @@
 
     /// Returns the number of bytes that the connection holds: the capacity of its buffers, its header table and its streams.
     pub fn held_bytes(&self) -> usize {
-        let header_block = self.header_block.as_ref().map_or(0, |block| block.bytes.capacity());
         let table = self.decoder.table_size() * FIELD_MEMORY_FACTOR;
         self.input.capacity()
             + self.output.capacity()
-            + header_block
+            + self.header_block_bytes()
             + table
             + self.streams.len() * STREAM_BYTES
     }
 
+    fn header_block_bytes(&self) -> usize {
+        self.header_block.as_ref().map_or(0, |block| block.bytes.capacity())
+    }
+
     /// Returns the number of bytes of a frame or header block that is not complete, and of streams whose message is not.
     pub fn unfinished_bytes(&self) -> usize {
-        let header_block = self.header_block.as_ref().map_or(0, |block| block.bytes.capacity());
-        self.input.len() + header_block + self.streams.len() * STREAM_BYTES
+        self.input.len() + self.header_block_bytes() + self.streams.len() * STREAM_BYTES
     }
 
     /// Returns the number of open streams of both sides.
