Discovery: the log says how the delivery of each list to the driver ended

Each delivery now ends with a debug line: version, events in the queue, time waited, delivered or dropped.

--- a/crates/platform/src/discovery/mod.rs
+++ b/crates/platform/src/discovery/mod.rs
@@ -153,13 +153,44 @@
             complete = list.is_complete,
             "endpoint list accepted"
         );
+        let delivery = Delivery::new(&self.runtime, list.version, self.driver.len());
         let event = DriverEvent::Endpoints { update, endpoints };
         self.driver.send(event).await.map_err(|_| DiscoveryError::Stopped)?;
+        delivery.completed();
         self.first_list.close();
         Ok(())
     }
 }
 
+/// The delivery of a list that is recorded as applied. Logs how it ended, also if it is dropped.
+struct Delivery {
+    runtime: Shared,
+    version: u64,
+    /// Number of events in the driver's queue at the start of the delivery.
+    queued_events: usize,
+    started_at: Micros,
+    is_completed: bool,
+}
+
+impl Delivery {
+    fn new(runtime: &Shared, version: u64, queued_events: usize) -> Delivery {
+        let started_at = runtime.now();
+        Delivery { runtime: runtime.clone(), version, queued_events, started_at, is_completed: false }
+    }
+
+    fn completed(mut self) {
+        self.is_completed = true;
+    }
+}
+
+impl Drop for Delivery {
+    fn drop(&mut self) {
+        let Delivery { version, queued_events, is_completed: delivered, .. } = *self;
+        let waited_us = self.runtime.now().saturating_sub(self.started_at);
+        tracing::debug!(version, queued_events, waited_us, delivered, "delivery of an endpoint list ended");
+    }
+}
+
 /// The ingress has stopped.
 struct Stopped;
 
