--- /dev/null
+++ b/crates/platform/tests/new_addresses.rs
@@ -0,0 +1,74 @@
+//! New addresses of discovery in quick succession, in the simulated runtime: what discovery has told, or is about to tell, is used.
+
+use chalkgap_core::Discovery;
+use chalkgap_platform::discovery::DiscoveryTimeouts;
+use chalkgap_runtime::simulated_runtime::Simulation;
+use chalkgap_runtime::Micros;
+use simulated_discovery::{run_test_in_mode, AnswerDelay, Fixture, CHECK_INTERVAL, DRAIN_GRACE, START};
+
+mod simulated_discovery;
+
+/// A change must be known this long after discovery had it and could be reached.
+const MAX_NOTIFICATION: Micros = 6_000_000;
+const MODES: [Discovery; 2] = [Discovery::Push, Discovery::Poll];
+const SEEDS: u64 = 10;
+
+/// Guards against a change that is recorded as applied, waits for a driver that is busy, and is dropped by a new address: the
+/// driver never got it.
+#[test]
+fn a_new_address_does_not_drop_a_change_that_waits_for_the_driver() {
+    for (mode, seed) in MODES.into_iter().flat_map(|mode| (0..SEEDS).map(move |seed| (mode, seed))) {
+        run_test_in_mode(seed, false, mode, move |fixture| async move {
+            // A follower of a polled service that has lost a watch begins with a watch from now on.
+            fixture.reset_watches();
+            fixture.sleep(1_000_000).await;
+            fixture.fill_driver_queue();
+            fixture.change_to_version(2);
+            fixture.sleep(2 * CHECK_INTERVAL + seed * 1000).await;
+            fixture.address_changes.send(fixture.agents[1].1).await.unwrap();
+            fixture.sleep(seed * 10_000).await;
+            let elapsed = fixture.wait_for_version(2).await;
+            assert!(elapsed <= MAX_NOTIFICATION, "{mode:?}, seed {seed}: {elapsed} us");
+        });
+    }
+}
+
+/// Guards against new addresses that come more often than discovery answers, each of which ends the calls of the one before: no
+/// list arrives until the series ends.
+#[test]
+fn a_series_of_new_addresses_does_not_drop_the_answers_of_a_slow_discovery() {
+    const ADDRESSES: usize = 30;
+    // The interval, and the delay of answers: each ends before the old address closes its connections.
+    let series = [
+        (300_000, 1_700_000),
+        (500_000, 1_900_000),
+        (1_000_000, 1_900_000),
+        (1_400_000, 1_900_000),
+        (1_800_000, 1_900_000),
+        (1_990_000, 1_900_000),
+    ];
+    for (mode, (interval, delay)) in MODES.into_iter().flat_map(|mode| series.map(|series| (mode, series))) {
+        for (seed, as_requested) in (0..SEEDS).flat_map(|seed| [(seed, false), (seed, true)]) {
+            let simulation = Simulation::new(seed, START);
+            let fixture_simulation = simulation.clone();
+            let elapsed = simulation.run(async move {
+                let timeouts = DiscoveryTimeouts::new(DRAIN_GRACE, mode);
+                let delay = AnswerDelay::Fixed(delay);
+                let mut fixture = Fixture::new(&fixture_simulation, false, timeouts, delay);
+                fixture.add_agents(ADDRESSES);
+                fixture.agents.iter().for_each(|(agent, _)| agent.lock().lists_as_requested = as_requested);
+                fixture.wait_for_version(1).await;
+                fixture.sleep(3_000_000).await;
+                fixture.change_addresses(interval);
+                fixture.sleep(2 * interval + 1_500_000 + seed * interval / SEEDS).await;
+                fixture.change_to_version(2);
+                fixture.wait_for_version(2).await
+            });
+            let elapsed = elapsed.expect("the simulation did not complete");
+            assert!(
+                elapsed <= MAX_NOTIFICATION,
+                "{mode:?}, a new address each {interval} us, answers after {delay} us, seed {seed}, list as requested {as_requested}: {elapsed} us"
+            );
+        }
+    }
+}
--- a/crates/platform/tests/simulated_discovery/mod.rs
+++ b/crates/platform/tests/simulated_discovery/mod.rs
@@ -10,7 +10,7 @@
 use chalkgap_platform::endpoint_set::EndpointSet;
 use chalkgap_platform::request::ForwardedCommand;
 use chalkgap_runtime::simulated_runtime::{address, HostGuard, Simulation};
-use chalkgap_runtime::{Micros, Runtime, Shared, Stream};
+use chalkgap_runtime::{Listener, Micros, Runtime, Shared, Stream};
 use chalkgap_transport::{MemoryBudget, MemoryOwner};
 use futures_lite::{future, AsyncReadExt, AsyncWriteExt};
 use std::net::SocketAddr;
@@ -23,6 +23,12 @@
 pub const NETWORK_ALLOWANCE: Micros = 5_000;
 /// Longest time that a polled service may delay a request, as the platform documents it.
 pub const MAX_POLL_WAIT: Micros = 2_000_000;
+/// Capacity of the driver's queue.
+const DRIVER_QUEUE_CAPACITY: usize = 64;
+/// An old address of discovery keeps its open connections for this time, as the platform documents it.
+pub const RETIREMENT: Micros = 1_500_000;
+/// Number of the first host of agents beside the two that each test has.
+const FIRST_FURTHER_AGENT: u32 = 5000;
 /// Interval at which the agent checks for changes to send.
 pub const CHECK_INTERVAL: Micros = 10_000;
 
@@ -79,6 +85,38 @@
     pub service_time: Micros,
     /// Time at which the requests that wait have been served.
     pub queue_end: Micros,
+    /// Dropped when the agent retires.
+    active: Option<Sender<()>>,
+    /// Closed when the agent has retired.
+    retired: Receiver<()>,
+}
+
+impl Agent {
+    fn new(indent: bool, answer_delay: AnswerDelay) -> Agent {
+        let (active, retired) = async_channel::bounded(1);
+        Agent {
+            version: 1,
+            behaviour: Behaviour::Healthy,
+            indent,
+            generation: 0,
+            ignore_next: 0,
+            reject_next: 0,
+            answer_delay,
+            lists_as_requested: false,
+            connections_generation: 0,
+            list_requests: 0,
+            watch_requests: 0,
+            service_time: 0,
+            queue_end: 0,
+            active: Some(active),
+            retired,
+        }
+    }
+
+    /// Takes no new connection from now on, and closes the open ones after [`RETIREMENT`].
+    pub fn retire(&mut self) {
+        self.active = None;
+    }
 }
 
 #[derive(Clone)]
@@ -107,6 +145,25 @@
         text[..length].to_owned() + "\n"
     }
 
+    /// Accepts connections, and serves the request of each.
+    async fn serve_all(self, runtime: Shared, listener: Box<dyn Listener>) {
+        while let Ok(stream) = listener.accept().await {
+            if self.lock().active.is_none() {
+                continue;
+            }
+            let served = self.clone().serve(runtime.clone(), stream);
+            let retired = self.clone().retirement_over(runtime.clone());
+            runtime.spawn(Box::pin(future::or(served, retired))).detach();
+        }
+    }
+
+    /// Waits until the open connections of a retired agent are closed.
+    async fn retirement_over(self, runtime: Shared) {
+        let retired = self.lock().retired.clone();
+        let _ = retired.recv().await;
+        runtime.sleep_until(runtime.now() + RETIREMENT).await;
+    }
+
     /// Serves one request.
     async fn serve(self, runtime: Shared, mut stream: Box<dyn Stream>) {
         let request = Request::read(&mut *stream).await;
@@ -209,31 +266,57 @@
     }
 }
 
-/// Starts a follower of the agent at `address` on host `host_number`. Returns its runtime, the guard of the host, the sender of
-/// new agent addresses, and the receiver of its events.
-pub fn start_follower(
+/// Starts an agent on host `host_number`. Returns its address and the guard of the host as well.
+fn start_agent(
+    simulation: &Simulation,
+    host_number: u32,
+    agent: Agent,
+) -> (AgentHandle, SocketAddr, HostGuard) {
+    let (host, guard) = simulation.host(host_number, 0);
+    let handle = AgentHandle(Arc::new(Mutex::new(agent)));
+    let agent_address = SocketAddr::new(address(host_number), 8500);
+    let listener = host.listen(agent_address).unwrap();
+    let runtime = host as Shared;
+    runtime.spawn(Box::pin(handle.clone().serve_all(runtime.clone(), listener))).detach();
+    (handle, agent_address, guard)
+}
+
+/// A follower on a host of its own.
+struct Follower {
+    runtime: Shared,
+    guard: HostGuard,
+    /// Sends a new agent address to the follower.
+    address_changes: Sender<SocketAddr>,
+    /// The driver's queue.
+    driver: Sender<DriverEvent<ForwardedCommand>>,
+    /// Events that the follower sends to its driver.
+    events: Receiver<DriverEvent<ForwardedCommand>>,
+}
+
+/// Starts a follower of the agent at `agent_address` on host `host_number`.
+fn start_follower(
     simulation: &Simulation,
     host_number: u32,
     timeouts: DiscoveryTimeouts,
     agent_address: SocketAddr,
-) -> (Shared, HostGuard, Sender<SocketAddr>, Receiver<DriverEvent<ForwardedCommand>>) {
+) -> Follower {
     let (host, guard) = simulation.host(host_number, 0);
     let runtime: Shared = host;
     let (address_changes, address_receiver) = async_channel::bounded(4);
-    let (driver, events) = async_channel::bounded(64);
+    let (driver, events) = async_channel::bounded(DRIVER_QUEUE_CAPACITY);
     let (first_list, _) = async_channel::bounded(1);
     let follower = DiscoveryFollower {
         runtime: runtime.clone(),
         endpoints: EndpointSet::new(Vec::new(), Vec::new()),
         address: agent_address,
         timeouts,
-        driver,
+        driver: driver.clone(),
         first_list,
         endpoint_memory: MemoryBudget::unlimited().reservation(MemoryOwner::Endpoints),
     };
     let task = follower.run(address_receiver);
     runtime.spawn(Box::pin(task)).detach();
-    (runtime, guard, address_changes, events)
+    Follower { runtime, guard, address_changes, driver, events }
 }
 
 /// Two agents and a follower of the first one, in a simulated network.
@@ -245,6 +328,8 @@
     pub other_address_changes: Vec<Sender<SocketAddr>>,
     /// Sends a new agent address to the follower.
     pub address_changes: Sender<SocketAddr>,
+    /// The driver's queue.
+    pub driver: Sender<DriverEvent<ForwardedCommand>>,
     /// Events that the follower sends to its driver.
     pub events: Receiver<DriverEvent<ForwardedCommand>>,
     pub guards: Vec<HostGuard>,
@@ -261,47 +346,21 @@
         let mut agents = Vec::new();
         let mut guards = Vec::new();
         for host_number in 1..=2 {
-            let (host, guard) = simulation.host(host_number, 0);
-            let agent = Agent {
-                version: 1,
-                behaviour: Behaviour::Healthy,
-                indent,
-                generation: 0,
-                ignore_next: 0,
-                reject_next: 0,
-                answer_delay,
-                lists_as_requested: false,
-                connections_generation: 0,
-                list_requests: 0,
-                watch_requests: 0,
-                service_time: 0,
-                queue_end: 0,
-            };
-            let handle = AgentHandle(Arc::new(Mutex::new(agent)));
-            let agent_address = SocketAddr::new(address(host_number), 8500);
-            let listener = host.listen(agent_address).unwrap();
-            let runtime = host as Shared;
-            let served = handle.clone();
-            let task_runtime = runtime.clone();
-            let serve = async move {
-                while let Ok(stream) = listener.accept().await {
-                    let task = served.clone().serve(task_runtime.clone(), stream);
-                    task_runtime.spawn(Box::pin(task)).detach();
-                }
-            };
-            runtime.spawn(Box::pin(serve)).detach();
+            let agent = Agent::new(indent, answer_delay);
+            let (handle, agent_address, guard) = start_agent(simulation, host_number, agent);
             agents.push((handle, agent_address));
             guards.push(guard);
         }
-        let (runtime, guard, address_changes, events) = start_follower(simulation, 3, timeouts, agents[0].1);
-        guards.push(guard);
+        let follower = start_follower(simulation, 3, timeouts, agents[0].1);
+        guards.push(follower.guard);
         Fixture {
-            runtime,
+            runtime: follower.runtime,
             simulation: simulation.clone(),
             agents,
             other_address_changes: Vec::new(),
-            address_changes,
-            events,
+            address_changes: follower.address_changes,
+            driver: follower.driver,
+            events: follower.events,
             guards,
         }
     }
@@ -312,11 +371,47 @@
         host_number: u32,
         timeouts: DiscoveryTimeouts,
     ) -> Receiver<DriverEvent<ForwardedCommand>> {
-        let (_, guard, address_changes, events) =
-            start_follower(&self.simulation, host_number, timeouts, self.agents[0].1);
-        self.guards.push(guard);
-        self.other_address_changes.push(address_changes);
-        events
+        let follower = start_follower(&self.simulation, host_number, timeouts, self.agents[0].1);
+        self.guards.push(follower.guard);
+        self.other_address_changes.push(follower.address_changes);
+        follower.events
+    }
+
+    /// Fills the driver's queue: the driver takes no event until the test waits for a version.
+    pub fn fill_driver_queue(&self) {
+        while self.driver.try_send(DriverEvent::LedgerProgress).is_ok() {}
+    }
+
+    /// Starts further agents like the first one, up to `count`.
+    pub fn add_agents(&mut self, count: usize) {
+        for number in FIRST_FURTHER_AGENT.. {
+            if self.agents.len() >= count {
+                return;
+            }
+            let agent = Agent::new(false, self.agent().answer_delay);
+            let (handle, agent_address, guard) = start_agent(&self.simulation, number, agent);
+            self.agents.push((handle, agent_address));
+            self.guards.push(guard);
+        }
+    }
+
+    /// All agents have this version of the list from now on.
+    pub fn change_to_version(&self, version: u64) {
+        self.agents.iter().for_each(|(agent, _)| agent.lock().version = version);
+    }
+
+    /// Lets the follower use one agent after the other, each for `interval`. The one before retires.
+    pub fn change_addresses(&self, interval: Micros) {
+        let agents = self.agents.clone();
+        let (address_changes, runtime) = (self.address_changes.clone(), self.runtime.clone());
+        let task = async move {
+            for pair in agents.windows(2) {
+                runtime.sleep_until(runtime.now() + interval).await;
+                let _ = address_changes.send(pair[1].1).await;
+                pair[0].0.lock().retire();
+            }
+        };
+        self.runtime.spawn(Box::pin(task)).detach();
     }
 
     /// Returns the agent that the follower calls first.
