A list from discovery cannot be dropped between its record and the driver

Cause: the follower recorded a list as applied and then waited for room in the driver's queue. A new address of discovery ended that wait and with it the event. Where lists are polled, the next watch begins at the recorded version, so the change was never told again.

Fix: lists have a way of their own to the driver, beside its queue. It holds one update that the driver has not taken yet; further ones are merged into it. Publishing never waits, so a list is recorded and published in one step, and there is no moment in which a new address, or anything else that drops the follower, could separate the two. The endpoint set is the one owner of the version that the driver has. The driver takes the update before each event, so a list waits for the one event that is being handled, and no longer behind up to 1,024 commands; it logs how long the list waited and how many events were queued. Weighed: room reserved in the queue before the record, and a hand-over that an address cannot interrupt. Both keep the list behind the crowd of commands, and both keep discovery from reading while the queue is full.

--- a/crates/gateway/src/driver/endpoints.rs
+++ b/crates/gateway/src/driver/endpoints.rs
@@ -1,6 +1,6 @@
 //! Applies endpoint lists and changes to them.
 
-use super::{Driver, ListedProcess};
+use super::{Driver, ListedProcess, PendingUpdate};
 use crate::messages::Upstream;
 use crate::node_list::NodeList;
 use crate::telemetry::add;
@@ -34,8 +34,23 @@
         self.on_endpoints(update, endpoints);
     }
 
+    /// Applies what discovery has published.
+    pub(super) fn on_endpoint_update(&mut self, pending: PendingUpdate) {
+        let PendingUpdate { update, endpoints, published_at } = pending;
+        let waited_us = self.runtime.now().saturating_sub(published_at);
+        let queued_events = self.events.len();
+        tracing::debug!(
+            ?update,
+            endpoints = endpoints.len(),
+            waited_us,
+            queued_events,
+            "endpoint list taken by the driver"
+        );
+        self.on_endpoints(update, endpoints);
+    }
+
     /// Applies a snapshot of the endpoints or a change to them.
-    pub(super) fn on_endpoints(&mut self, update: EndpointUpdate, endpoints: Vec<(Endpoint, SocketAddr)>) {
+    fn on_endpoints(&mut self, update: EndpointUpdate, endpoints: Vec<(Endpoint, SocketAddr)>) {
         let mut before = match update {
             EndpointUpdate::Snapshot | EndpointUpdate::Cached => std::mem::take(&mut self.listed),
             EndpointUpdate::Delta | EndpointUpdate::Failed => BTreeMap::new(),
--- a/crates/gateway/src/driver/mod.rs
+++ b/crates/gateway/src/driver/mod.rs
@@ -10,16 +10,19 @@
 //! - [`attempts`]: their attempts on connections to nodes
 //! - [`in_flight`]: the state of both
 //! - [`ledger_entries`]: their entries in the billing ledger
-//! - [`endpoints`]: endpoint lists
+//! - [`endpoint_updates`], [`endpoints`]: endpoint lists, on their way to the driver and as it applies them
 //! - [`timers`]: timers of the core, deadlines of attempts
 
 mod attempts;
+mod endpoint_updates;
 mod endpoints;
 mod in_flight;
 mod ledger_entries;
 mod requests;
 mod timers;
 
+pub use endpoint_updates::{endpoint_updates, EndpointPublisher, EndpointUpdates, PendingUpdate};
+
 use crate::ledger::LedgerHandle;
 use crate::messages::{DriverEvent, Upstream};
 use crate::node_list::{EndpointIds, NodeList};
@@ -65,6 +68,15 @@
 /// A gossip message of the core, with the id of the peer that it is sent to.
 pub type OutboundGossip = (u16, Vec<u8>);
 
+/// What the driver waits for.
+enum Input<W> {
+    Endpoints(PendingUpdate),
+    Event(DriverEvent<W>),
+    /// Every sender of events is dropped.
+    Ended,
+    TimerDue,
+}
+
 /// Owns the core and runs it. Generic over the protocol to the nodes.
 pub struct Driver<U: Upstream> {
     runtime: Shared,
@@ -73,6 +85,8 @@
     core: Gateway,
     connections: U,
     events: Pin<Box<Receiver<DriverEvent<U::Work>>>>,
+    /// Taken before any event.
+    endpoint_updates: Option<EndpointUpdates>,
     gossip: Option<Sender<OutboundGossip>>,
     ledger: Option<LedgerRecorder>,
     /// Attempts whose ledger entries are not durable yet, ordered by sequence number.
@@ -90,7 +104,8 @@
 }
 
 impl<U: Upstream> Driver<U> {
-    /// Creates a driver that passes `events` to `core`. It has no gossip, no ledger and no list cache.
+    /// Creates a driver that passes `events` to `core`. It has no endpoint updates, no gossip, no
+    /// ledger and no list cache.
     pub fn new(
         runtime: Shared,
         limits: DriverLimits,
@@ -106,6 +121,7 @@
             core,
             connections,
             events: Box::pin(events),
+            endpoint_updates: None,
             gossip: None,
             ledger: None,
             awaiting_ledger: VecDeque::new(),
@@ -125,6 +141,13 @@
         self
     }
 
+    /// Applies the endpoint lists of `updates`.
+    #[must_use]
+    pub fn with_endpoint_updates(mut self, updates: EndpointUpdates) -> Self {
+        self.endpoint_updates = Some(updates);
+        self
+    }
+
     /// Sends the core's gossip, with the id of the receiving peer, to `gossip`.
     pub fn with_gossip(mut self, gossip: Option<Sender<OutboundGossip>>) -> Self {
         self.gossip = gossip;
@@ -153,16 +176,16 @@
         let mut alarm = Alarm::new(self.runtime.clone());
         loop {
             let next_due = self.timers.next_due();
-            let event_or_timer = future::poll_fn(|cx| match self.events.as_mut().poll_next(cx) {
-                Poll::Ready(event) => Poll::Ready(Some(event)),
-                Poll::Pending => alarm.poll(next_due, cx).map(|()| None),
-            });
-            match event_or_timer.await {
-                Some(Some(event)) => self.on_event(event),
-                Some(None) => return,
-                None => {}
+            match self.next_input(&mut alarm, next_due).await {
+                Input::Endpoints(pending) => self.on_endpoint_update(pending),
+                Input::Event(event) => self.on_event(event),
+                Input::Ended => return,
+                Input::TimerDue => {}
             }
             for _ in 1..MAX_EVENTS_PER_TURN {
+                if let Some(pending) = self.endpoint_updates.as_ref().and_then(EndpointUpdates::take) {
+                    self.on_endpoint_update(pending);
+                }
                 match self.events.try_recv() {
                     Ok(event) => self.on_event(event),
                     Err(_) => break,
@@ -176,6 +199,22 @@
         }
     }
 
+    /// Waits for an endpoint update, an event, or a timer that is due at `next_due`.
+    async fn next_input(&mut self, alarm: &mut Alarm, next_due: Option<Micros>) -> Input<U::Work> {
+        future::poll_fn(|cx| {
+            let update = self.endpoint_updates.as_ref().map(|updates| updates.poll_take(cx));
+            if let Some(Poll::Ready(pending)) = update {
+                return Poll::Ready(Input::Endpoints(pending));
+            }
+            match self.events.as_mut().poll_next(cx) {
+                Poll::Ready(Some(event)) => Poll::Ready(Input::Event(event)),
+                Poll::Ready(None) => Poll::Ready(Input::Ended),
+                Poll::Pending => alarm.poll(next_due, cx).map(|()| Input::TimerDue),
+            }
+        })
+        .await
+    }
+
     fn on_event(&mut self, event: DriverEvent<U::Work>) {
         match event {
             DriverEvent::Request(request) => self.on_request(request),
@@ -192,7 +231,6 @@
                 self.handle(Event::PeerReachability { peer: GatewayId(peer), reachable })
             }
             DriverEvent::NodeList { list, cached } => self.on_node_list(&list, cached),
-            DriverEvent::Endpoints { update, endpoints } => self.on_endpoints(update, endpoints),
             DriverEvent::LedgerProgress => self.on_ledger_progress(),
         }
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -33,7 +33,9 @@
 /// and the gate that admits connections. An [`Instance`] consists of the same parts.
 pub mod frontend {
     pub use crate::connection_gate::{ConnectionGate, ConnectionGateConfig, Permit, RequestEnd};
-    pub use crate::driver::{Driver, DriverLimits};
+    pub use crate::driver::{
+        endpoint_updates, Driver, DriverLimits, EndpointPublisher, EndpointUpdates, PendingUpdate,
+    };
     pub use crate::frontends::{listen, Acceptor, Frontend};
     pub use crate::messages::{
         Answer, AttemptResult, DriverEvent, OutboundAttempt, PendingRequest, Response, Upstream,
--- a/crates/gateway/src/messages.rs
+++ b/crates/gateway/src/messages.rs
@@ -6,7 +6,7 @@
 use crate::settings::Customer;
 use async_channel::Sender;
 use bytes::Bytes;
-use chalkgap_core::{BackendId, Endpoint, EndpointUpdate, LoadReport, Outcome, RequestId};
+use chalkgap_core::{BackendId, LoadReport, Outcome, RequestId};
 use chalkgap_runtime::Micros;
 use std::net::SocketAddr;
 
@@ -148,13 +148,6 @@
         /// Whether the list was read from the cache file, which an earlier start of this instance has written.
         cached: bool,
     },
-    /// A snapshot of the endpoints, or a change to them, in the core's types.
-    Endpoints {
-        /// Whether it is a snapshot or a change.
-        update: EndpointUpdate,
-        /// The endpoints with their addresses.
-        endpoints: Vec<(Endpoint, SocketAddr)>,
-    },
     /// More ledger entries are durable, or the ledger's disk has failed.
     LedgerProgress,
 }
--- a/crates/platform/src/discovery/mod.rs
+++ b/crates/platform/src/discovery/mod.rs
@@ -17,11 +17,10 @@
 
 use crate::endpoint_list::EndpointList;
 use crate::endpoint_set::{EndpointChange, EndpointSet};
-use crate::request::ForwardedCommand;
 use async_channel::{Receiver, Sender};
 use backoff::{Backoff, FirstRequest};
 use call::{DiscoveryCall, FailedCall, ListRequest};
-use chalkgap::frontend::DriverEvent;
+use chalkgap::frontend::EndpointPublisher;
 use chalkgap_core::Discovery;
 use chalkgap_runtime::{Micros, Shared};
 use chalkgap_transport::MemoryReservation;
@@ -51,8 +50,8 @@
     pub address: SocketAddr,
     /// Timeouts of the requests to discovery.
     pub timeouts: DiscoveryTimeouts,
-    /// Channel to the driver, which receives the endpoint updates.
-    pub driver: Sender<DriverEvent<ForwardedCommand>>,
+    /// Publishes endpoint updates to the driver.
+    pub driver: EndpointPublisher,
     /// Closed when the first list from discovery has been applied.
     pub first_list: Sender<()>,
     /// The memory of the known endpoints. Its budget limits lists that are being received, too.
@@ -112,7 +111,7 @@
         loop {
             let list = watch.next_list(timeouts).await;
             let applied = match list {
-                Ok(list) => self.apply(&list).await,
+                Ok(list) => self.apply(&list),
                 Err(error) => Err(error),
             };
             applied.map_err(|error| watch.failed(error))?;
@@ -132,7 +131,7 @@
         let hedged = HedgedRequest::new(runtime, &memory, self.address, request, has_list, backoff);
         let (call, list) = hedged.answer().await;
         if let Some(list) = list {
-            self.apply(&list).await.map_err(|error| call.failed(error))?;
+            self.apply(&list).map_err(|error| call.failed(error))?;
             backoff.list_applied();
         }
         Ok(call)
@@ -143,7 +142,8 @@
         self.endpoint_memory.resize(self.endpoints.len() * ENDPOINT_BYTES);
     }
 
-    async fn apply(&mut self, list: &EndpointList) -> Result<(), DiscoveryError> {
+    /// Records a list as applied and publishes it, in one step that no new address can interrupt.
+    fn apply(&mut self, list: &EndpointList) -> Result<(), DiscoveryError> {
         let EndpointChange { update, endpoints } = self.endpoints.apply(self.runtime.now(), list)?;
         self.count_endpoints();
         let count = endpoints.len();
@@ -153,44 +153,15 @@
             complete = list.is_complete,
             "endpoint list accepted"
         );
-        let delivery = Delivery::new(&self.runtime, list.version, self.driver.len());
-        let event = DriverEvent::Endpoints { update, endpoints };
-        self.driver.send(event).await.map_err(|_| DiscoveryError::Stopped)?;
-        delivery.completed();
+        if self.driver.is_closed() {
+            return Err(DiscoveryError::Stopped);
+        }
+        self.driver.publish(update, endpoints);
         self.first_list.close();
         Ok(())
     }
 }
 
-/// The delivery of a list that is recorded as applied. Logs how it ended, also if it is dropped.
-struct Delivery {
-    runtime: Shared,
-    version: u64,
-    /// Number of events in the driver's queue at the start of the delivery.
-    queued_events: usize,
-    started_at: Micros,
-    is_completed: bool,
-}
-
-impl Delivery {
-    fn new(runtime: &Shared, version: u64, queued_events: usize) -> Delivery {
-        let started_at = runtime.now();
-        Delivery { runtime: runtime.clone(), version, queued_events, started_at, is_completed: false }
-    }
-
-    fn completed(mut self) {
-        self.is_completed = true;
-    }
-}
-
-impl Drop for Delivery {
-    fn drop(&mut self) {
-        let Delivery { version, queued_events, is_completed: delivered, .. } = *self;
-        let waited_us = self.runtime.now().saturating_sub(self.started_at);
-        tracing::debug!(version, queued_events, waited_us, delivered, "delivery of an endpoint list ended");
-    }
-}
-
 /// The ingress has stopped.
 struct Stopped;
 
--- a/crates/platform/src/ingress.rs
+++ b/crates/platform/src/ingress.rs
@@ -12,7 +12,9 @@
 use crate::request_parser::RequestParser;
 use crate::shutdown::ShutdownTimeouts;
 use async_channel::{Receiver, Sender};
-use chalkgap::frontend::{listen, Acceptor, ConnectionGate, Driver, DriverEvent, DriverLimits};
+use chalkgap::frontend::{
+    endpoint_updates, listen, Acceptor, ConnectionGate, Driver, DriverEvent, DriverLimits, EndpointPublisher,
+};
 use chalkgap::memory;
 use chalkgap::telemetry::{Counts, Telemetry};
 use chalkgap_admission::BudgetError;
@@ -117,8 +119,8 @@
         let startup = Startup { config, runtime, telemetry, memory, driver, killed };
 
         let outgoing_gossip = gossip_socket.map(|socket| startup.start_gossip(socket));
-        let endpoints = startup.start_driver(events, outgoing_gossip);
-        let first_list = startup.start_discovery(endpoints, new_addresses);
+        let (endpoints, publisher) = startup.start_driver(events, outgoing_gossip);
+        let first_list = startup.start_discovery(endpoints, publisher, new_addresses);
         // Clients connect as soon as the ingress listens, so it first waits for current endpoints, for at most
         // `FIRST_LIST_TIMEOUT_MICROS`.
         let first_endpoints = startup.await_first_list(first_list).await;
@@ -240,12 +242,12 @@
         outgoing
     }
 
-    /// Starts the driver, with the cached endpoints as its first event. Returns the endpoint set for discovery to update.
+    /// Starts the driver with the cached endpoints. Returns the endpoint set for discovery to update, and its way to the driver.
     fn start_driver(
         &self,
         events: Receiver<DriverEvent<ForwardedCommand>>,
         outgoing_gossip: Option<Sender<OutgoingGossip>>,
-    ) -> EndpointSet {
+    ) -> (EndpointSet, EndpointPublisher) {
         let deployment = &self.config.deployment;
         let limits = &deployment.settings.limits;
         let driver_limits = DriverLimits {
@@ -258,16 +260,16 @@
         let core = Gateway::new(deployment.settings.clone(), self.config.seed, self.runtime.now());
         let telemetry = self.telemetry.clone();
         let driver = Driver::new(self.runtime.clone(), driver_limits, telemetry, core, connections, events);
-        let driver = driver.with_gossip(outgoing_gossip);
+        let (publisher, updates) = endpoint_updates(self.runtime.clone());
+        let driver = driver.with_endpoint_updates(updates).with_gossip(outgoing_gossip);
         let mut endpoint_set =
             EndpointSet::new(deployment.zone_names.clone(), deployment.machine_kinds.clone());
         if let Some(list) = &self.config.cached_endpoints {
             let EndpointChange { update, endpoints } = endpoint_set.restore_cached(self.runtime.now(), list);
-            // Cannot fail: the channel is empty and its receiver exists.
-            let _ = self.driver.try_send(DriverEvent::Endpoints { update, endpoints });
+            publisher.publish(update, endpoints);
         }
         self.spawn(Box::pin(driver.run()));
-        endpoint_set
+        (endpoint_set, publisher)
     }
 
     fn backend_connections(&self) -> BackendConnections {
@@ -285,7 +287,12 @@
     }
 
     /// Starts to follow discovery. The returned channel is closed when the first list has been applied.
-    fn start_discovery(&self, endpoints: EndpointSet, new_addresses: Receiver<SocketAddr>) -> Receiver<()> {
+    fn start_discovery(
+        &self,
+        endpoints: EndpointSet,
+        publisher: EndpointPublisher,
+        new_addresses: Receiver<SocketAddr>,
+    ) -> Receiver<()> {
         let settings = &self.config.deployment.settings;
         let (first_list, first_list_applied) = async_channel::bounded::<()>(1);
         let follower = DiscoveryFollower {
@@ -293,7 +300,7 @@
             endpoints,
             address: self.config.discovery,
             timeouts: DiscoveryTimeouts::new(settings.rules.drain_grace, settings.discovery),
-            driver: self.driver.clone(),
+            driver: publisher,
             first_list,
             endpoint_memory: self.memory.reservation(MemoryOwner::Endpoints),
         };
--- a/crates/platform/tests/discovery.rs
+++ b/crates/platform/tests/discovery.rs
@@ -187,8 +187,8 @@
             agent.ignore_next = 2;
             agent.version = 3;
         }
-        let events = fixture.add_follower(4, polling);
-        fixture.events = events;
+        let updates = fixture.add_follower(4, polling);
+        fixture.updates = updates;
         fixture.wait_for_version(3).await;
         let agent = fixture.agent();
         assert!(agent.list_requests >= 3, "{} requests for the complete list", agent.list_requests);
@@ -223,8 +223,8 @@
         let started = fixture.runtime.now();
         let elapsed = fixture.wait_for_version(2).await;
         assert!(elapsed < 6_000_000, "{elapsed} us");
-        for events in others {
-            fixture.events = events;
+        for updates in others {
+            fixture.updates = updates;
             fixture.wait_for_version(2).await;
         }
         let last = fixture.runtime.now() - started;
--- a/crates/platform/tests/new_addresses.rs
+++ b/crates/platform/tests/new_addresses.rs
@@ -22,7 +22,6 @@
             // A follower of a polled service that has lost a watch begins with a watch from now on.
             fixture.reset_watches();
             fixture.sleep(1_000_000).await;
-            fixture.fill_driver_queue();
             fixture.change_to_version(2);
             fixture.sleep(2 * CHECK_INTERVAL + seed * 1000).await;
             fixture.address_changes.send(fixture.agents[1].1).await.unwrap();
--- a/crates/platform/tests/simulated_discovery/mod.rs
+++ b/crates/platform/tests/simulated_discovery/mod.rs
@@ -3,12 +3,11 @@
 #![allow(dead_code)] // each test file uses a part of this module
 
 use async_channel::{Receiver, Sender};
-use chalkgap::frontend::DriverEvent;
+use chalkgap::frontend::{endpoint_updates, EndpointUpdates};
 use chalkgap_core::{Availability, Discovery};
 use chalkgap_platform::discovery::{DiscoveryFollower, DiscoveryTimeouts};
 use chalkgap_platform::endpoint_list::backend_id;
 use chalkgap_platform::endpoint_set::EndpointSet;
-use chalkgap_platform::request::ForwardedCommand;
 use chalkgap_runtime::simulated_runtime::{address, HostGuard, Simulation};
 use chalkgap_runtime::{Listener, Micros, Runtime, Shared, Stream};
 use chalkgap_transport::{MemoryBudget, MemoryOwner};
@@ -23,8 +22,6 @@
 pub const NETWORK_ALLOWANCE: Micros = 5_000;
 /// Longest time that a polled service may delay a request, as the platform documents it.
 pub const MAX_POLL_WAIT: Micros = 2_000_000;
-/// Capacity of the driver's queue.
-const DRIVER_QUEUE_CAPACITY: usize = 64;
 /// An old address of discovery keeps its open connections for this time, as the platform documents it.
 pub const RETIREMENT: Micros = 1_500_000;
 /// Number of the first host of agents beside the two that each test has.
@@ -287,10 +284,8 @@
     guard: HostGuard,
     /// Sends a new agent address to the follower.
     address_changes: Sender<SocketAddr>,
-    /// The driver's queue.
-    driver: Sender<DriverEvent<ForwardedCommand>>,
-    /// Events that the follower sends to its driver.
-    events: Receiver<DriverEvent<ForwardedCommand>>,
+    /// What the follower publishes to its driver.
+    updates: Arc<EndpointUpdates>,
 }
 
 /// Starts a follower of the agent at `agent_address` on host `host_number`.
@@ -303,20 +298,20 @@
     let (host, guard) = simulation.host(host_number, 0);
     let runtime: Shared = host;
     let (address_changes, address_receiver) = async_channel::bounded(4);
-    let (driver, events) = async_channel::bounded(DRIVER_QUEUE_CAPACITY);
+    let (driver, updates) = endpoint_updates(runtime.clone());
     let (first_list, _) = async_channel::bounded(1);
     let follower = DiscoveryFollower {
         runtime: runtime.clone(),
         endpoints: EndpointSet::new(Vec::new(), Vec::new()),
         address: agent_address,
         timeouts,
-        driver: driver.clone(),
+        driver,
         first_list,
         endpoint_memory: MemoryBudget::unlimited().reservation(MemoryOwner::Endpoints),
     };
     let task = follower.run(address_receiver);
     runtime.spawn(Box::pin(task)).detach();
-    Follower { runtime, guard, address_changes, driver, events }
+    Follower { runtime, guard, address_changes, updates: Arc::new(updates) }
 }
 
 /// Two agents and a follower of the first one, in a simulated network.
@@ -328,10 +323,8 @@
     pub other_address_changes: Vec<Sender<SocketAddr>>,
     /// Sends a new agent address to the follower.
     pub address_changes: Sender<SocketAddr>,
-    /// The driver's queue.
-    pub driver: Sender<DriverEvent<ForwardedCommand>>,
-    /// Events that the follower sends to its driver.
-    pub events: Receiver<DriverEvent<ForwardedCommand>>,
+    /// What the follower publishes to its driver. The driver takes nothing until the test waits for a version.
+    pub updates: Arc<EndpointUpdates>,
     pub guards: Vec<HostGuard>,
 }
 
@@ -359,27 +352,17 @@
             agents,
             other_address_changes: Vec::new(),
             address_changes: follower.address_changes,
-            driver: follower.driver,
-            events: follower.events,
+            updates: follower.updates,
             guards,
         }
     }
 
-    /// Starts a further follower of the same agent. Returns the receiver of its events.
-    pub fn add_follower(
-        &mut self,
-        host_number: u32,
-        timeouts: DiscoveryTimeouts,
-    ) -> Receiver<DriverEvent<ForwardedCommand>> {
+    /// Starts a further follower of the same agent. Returns what it publishes.
+    pub fn add_follower(&mut self, host_number: u32, timeouts: DiscoveryTimeouts) -> Arc<EndpointUpdates> {
         let follower = start_follower(&self.simulation, host_number, timeouts, self.agents[0].1);
         self.guards.push(follower.guard);
         self.other_address_changes.push(follower.address_changes);
-        follower.events
-    }
-
-    /// Fills the driver's queue: the driver takes no event until the test waits for a version.
-    pub fn fill_driver_queue(&self) {
-        while self.driver.try_send(DriverEvent::LedgerProgress).is_ok() {}
+        follower.updates
     }
 
     /// Starts further agents like the first one, up to `count`.
@@ -440,15 +423,14 @@
         let started = self.runtime.now();
         let expected = backend_id(&format!("s-{version}"));
         let received = async {
-            while let Ok(event) = self.events.recv().await {
-                let DriverEvent::Endpoints { endpoints, .. } = event else { continue };
+            loop {
+                let endpoints = self.updates.next().await.endpoints;
                 if endpoints.iter().any(|(endpoint, _)| {
                     endpoint.backend == expected && endpoint.availability == Availability::Ready
                 }) {
                     return self.runtime.now() - started;
                 }
             }
-            panic!("the follower has ended");
         };
         let timeout = async {
             self.sleep(60_000_000).await;
--- a/crates/platform/tests/slow_discovery.rs
+++ b/crates/platform/tests/slow_discovery.rs
@@ -128,8 +128,8 @@
             fixture.reset_watches();
             fixture.agent().version += 1;
             let reset_at = fixture.runtime.now();
-            for events in std::iter::once(fixture.events.clone()).chain(crowd) {
-                fixture.events = events;
+            for updates in std::iter::once(fixture.updates.clone()).chain(crowd) {
+                fixture.updates = updates;
                 fixture.wait_for_version(2).await;
             }
             let elapsed = fixture.runtime.now() - reset_at;
