A new address of discovery does not end the calls to the one before it

Cause: a new address dropped the future that followed the old one, and with it the call whose answer was 0.1 s away. With addresses faster than answers no list arrives until the series ends. Evidence: a series on virtual time, a new address each 0.3 s and answers after 1.7 s, brings the change 8.3 s after it was made, with the end of the series; the call of each address is open when the next one comes, and no other call is made.

Fix: open calls belong to the follower and not to the future that waits for them. When the address changes they stay open beside the new address's calls for 2 s (the platform closes an old address's connections after 1.5 s), or until the new address has told a list that is applied. No new call is made to a former address. Their bytes draw from the memory budget as all calls do.

Which list wins: a former address adds only a newer version, and a change only if none between its base and the current version is missing; so a list computed before the change that the new address has told makes no drained backend available. The new address stays authoritative: its lists are accepted as before, also an older one after 3 s (versions that count from another start), which a former address neither delays nor undoes. A list of the new address that a former one has overtaken since its call began is no failure and costs no further call; the watch continues from it.

--- a/crates/platform/src/discovery/backoff.rs
+++ b/crates/platform/src/discovery/backoff.rs
@@ -82,7 +82,7 @@
     /// Returns the age at which a call for `request` that is made at `now` is late.
     pub(super) fn late_after(&self, now: Micros, request: ListRequest) -> Micros {
         let usual = match request {
-            ListRequest::Complete => self.call_timeout(),
+            ListRequest::Complete { .. } => self.call_timeout(),
             ListRequest::Watch { .. } => WATCH_SILENCE_MICROS,
         };
         if self.outage_suspected {
--- a/crates/platform/src/discovery/call.rs
+++ b/crates/platform/src/discovery/call.rs
@@ -20,16 +20,23 @@
 /// What a call requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum ListRequest {
-    /// The complete list.
-    Complete,
+    /// The complete list. The current one has this version.
+    Complete { current: u64 },
     /// A watch, which returns the changes since this version and then each change.
     Watch { from: u64 },
 }
 
 impl ListRequest {
+    /// Returns the version that is known when the request is made.
+    fn base(self) -> u64 {
+        match self {
+            ListRequest::Complete { current: base } | ListRequest::Watch { from: base } => base,
+        }
+    }
+
     fn path(self) -> String {
         match self {
-            ListRequest::Complete => "/api/targets".to_owned(),
+            ListRequest::Complete { .. } => "/api/targets".to_owned(),
             ListRequest::Watch { from } => format!("/api/targets?watch=1&from={from}"),
         }
     }
@@ -38,7 +45,7 @@
 impl fmt::Display for ListRequest {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         formatter.write_str(match self {
-            ListRequest::Complete => "complete list",
+            ListRequest::Complete { .. } => "complete list",
             ListRequest::Watch { .. } => "watch",
         })
     }
@@ -68,6 +75,14 @@
     }
 }
 
+/// A list that a call has received.
+#[derive(Debug)]
+pub(super) struct ReceivedList {
+    pub(super) list: EndpointList,
+    /// The version that the call had received before, or that was known when the request was made.
+    pub(super) base: u64,
+}
+
 /// A call that failed, for the log.
 #[derive(Debug)]
 pub(super) struct FailedCall {
@@ -103,6 +118,8 @@
     started_at: Micros,
     connection: Connection,
     client: DiscoveryClient,
+    /// The version of the last list that was received, or the one that was known when the request was made.
+    version: u64,
     /// Whether any byte of the answer has been received.
     has_answered: bool,
     /// When the call last made progress: it began, the request was sent, or data arrived.
@@ -142,6 +159,7 @@
             started_at: now,
             connection: Connection::Opening(Box::pin(opening)),
             client: client.with_memory(memory),
+            version: request.base(),
             has_answered: false,
             last_progress_at: now,
             partial_since: None,
@@ -160,6 +178,11 @@
         FailedCall { request: self.request, phase: self.phase(), age: self.age(), error }
     }
 
+    /// Returns the version of the last list that was received, or the one that was known when the request was made.
+    pub(super) fn version(&self) -> u64 {
+        self.version
+    }
+
     /// Returns how far the call has got.
     pub(super) fn phase(&self) -> CallPhase {
         match self.connection {
@@ -171,7 +194,7 @@
     }
 
     /// Reads the next list. Fails if there is no progress within `timeouts`.
-    pub(super) async fn next_list(&mut self, timeouts: CallTimeouts) -> Result<EndpointList, DiscoveryError> {
+    pub(super) async fn next_list(&mut self, timeouts: CallTimeouts) -> Result<ReceivedList, DiscoveryError> {
         poll_fn(|cx| {
             if let Poll::Ready(list) = self.poll_list(cx) {
                 return Poll::Ready(list);
@@ -193,11 +216,12 @@
     }
 
     /// Ready with the next list, or with the reason why there will be none.
-    pub(super) fn poll_list(&mut self, cx: &mut Context<'_>) -> Poll<Result<EndpointList, DiscoveryError>> {
+    pub(super) fn poll_list(&mut self, cx: &mut Context<'_>) -> Poll<Result<ReceivedList, DiscoveryError>> {
         loop {
-            if let Some(list) = self.client.next_value()? {
+            if let Some(list) = self.client.next_value::<EndpointList>()? {
                 self.partial_since = None;
-                return Poll::Ready(Ok(list));
+                let base = std::mem::replace(&mut self.version, list.version);
+                return Poll::Ready(Ok(ReceivedList { list, base }));
             }
             if self.client.is_ended() {
                 return Poll::Ready(Err(DiscoveryError::ConnectionEnded));
--- a/crates/platform/src/discovery/hedged_request.rs
+++ b/crates/platform/src/discovery/hedged_request.rs
@@ -1,11 +1,10 @@
 //! A request to discovery, by more than one call if it is not answered soon.
 
 use super::backoff::Backoff;
-use super::call::{CallPhase, DiscoveryCall, ListRequest};
+use super::call::{CallPhase, DiscoveryCall, ListRequest, ReceivedList};
 use super::error::DiscoveryError;
 use super::hedging::{HedgedCalls, Step};
 use super::{jittered, log_failure};
-use crate::endpoint_list::EndpointList;
 use chalkgap_runtime::{Alarm, Micros, Shared};
 use chalkgap_transport::MemoryBudget;
 use std::future::poll_fn;
@@ -23,8 +22,8 @@
     has_list: bool,
     backoff: &'a mut Backoff,
     hedged: HedgedCalls,
-    /// In the order of `hedged`.
-    calls: Vec<DiscoveryCall>,
+    /// In the order of `hedged`. They stay open when the request is dropped.
+    calls: &'a mut Vec<DiscoveryCall>,
 }
 
 impl<'a> HedgedRequest<'a> {
@@ -35,14 +34,16 @@
         request: ListRequest,
         has_list: bool,
         backoff: &'a mut Backoff,
+        calls: &'a mut Vec<DiscoveryCall>,
     ) -> HedgedRequest<'a> {
+        calls.clear();
         let hedged = HedgedCalls::new(runtime.now());
-        HedgedRequest { runtime, memory, address, request, has_list, backoff, hedged, calls: Vec::new() }
+        HedgedRequest { runtime, memory, address, request, has_list, backoff, hedged, calls }
     }
 
     /// Calls discovery until a call is answered: a watch by any data, another request by a list. Returns the call and its list,
     /// which a watch may not have yet.
-    pub(super) async fn answer(mut self) -> (DiscoveryCall, Option<EndpointList>) {
+    pub(super) async fn answer(mut self) -> (DiscoveryCall, Option<ReceivedList>) {
         loop {
             let now = self.runtime.now();
             match self.hedged.step(now, self.backoff.hedging_limits()) {
@@ -57,6 +58,7 @@
                     None => {}
                     Some((index, Ok(list))) => {
                         let call = self.calls.swap_remove(index);
+                        self.calls.clear();
                         self.backoff.record_answer(self.runtime.now(), call.age());
                         return (call, list);
                     }
@@ -107,7 +109,7 @@
     async fn next_answer(
         &mut self,
         at: Micros,
-    ) -> Option<(usize, Result<Option<EndpointList>, DiscoveryError>)> {
+    ) -> Option<(usize, Result<Option<ReceivedList>, DiscoveryError>)> {
         let mut alarm = Alarm::new(self.runtime.clone());
         poll_fn(|cx| {
             for (index, call) in self.calls.iter_mut().enumerate() {
@@ -115,7 +117,7 @@
                     return Poll::Ready(Some((index, result.map(Some))));
                 }
                 let has_answered = matches!(call.phase(), CallPhase::AwaitingList | CallPhase::ReadingList);
-                if has_answered && self.request != ListRequest::Complete {
+                if has_answered && matches!(self.request, ListRequest::Watch { .. }) {
                     return Poll::Ready(Some((index, Ok(None))));
                 }
             }
--- a/crates/platform/src/endpoint_set.rs
+++ b/crates/platform/src/endpoint_set.rs
@@ -114,8 +114,31 @@
     /// 20,000 backends.
     pub fn apply(&mut self, now: Micros, list: &EndpointList) -> Result<EndpointChange, RejectedList> {
         self.check(now, list)?;
-        self.version = list.version;
         self.stale_since = None;
+        Ok(self.accept(now, list))
+    }
+
+    /// Applies a list from an address of discovery that is no longer the current one. `base` is the version that the same call
+    /// had told before, or that was current when the call was made. Returns `None` if the list brings nothing new: only a newer
+    /// version counts, and changes only if no change between `base` and the current version is missing.
+    pub fn apply_from_former_address(
+        &mut self,
+        now: Micros,
+        list: &EndpointList,
+        base: u64,
+    ) -> Option<EndpointChange> {
+        let is_usable = list.endpoints.len() <= MAX_ENDPOINTS && (list.is_complete || base <= self.version);
+        (is_usable && list.version > self.version).then(|| self.accept(now, list))
+    }
+
+    /// Whether a list of the current address, told by a call that knew the version `base`, is older than the current list only
+    /// because a former address has told a newer one meanwhile. It is not outdated then, and brings nothing new.
+    pub fn is_overtaken(&self, list: &EndpointList, base: u64) -> bool {
+        base <= list.version && list.version < self.version
+    }
+
+    fn accept(&mut self, now: Micros, list: &EndpointList) -> EndpointChange {
+        self.version = list.version;
         self.track_rollback(now, list.version);
         let mut endpoints = self.translate(list);
         if self.rolled_back_at.is_some() {
@@ -123,7 +146,7 @@
         }
         self.record(now, list.is_complete, &endpoints);
         let update = if list.is_complete { EndpointUpdate::Snapshot } else { EndpointUpdate::Delta };
-        Ok(EndpointChange { update, endpoints })
+        EndpointChange { update, endpoints }
     }
 
     fn check(&mut self, now: Micros, list: &EndpointList) -> Result<(), RejectedList> {
--- a/crates/platform/tests/new_addresses.rs
+++ b/crates/platform/tests/new_addresses.rs
@@ -36,9 +36,12 @@
 /// list arrives until the series ends.
 #[test]
 fn a_series_of_new_addresses_does_not_drop_the_answers_of_a_slow_discovery() {
-    const ADDRESSES: usize = 30;
-    // The interval, and the delay of answers: each ends before the old address closes its connections.
+    const MIN_ADDRESSES: Micros = 30;
+    const MIN_DURATION: Micros = 10_000_000;
+    // The interval, and the delay of answers: each arrives before the old address closes its connections. At the shortest interval
+    // far more calls than are kept would be open.
     let series = [
+        (50_000, 1_450_000),
         (300_000, 1_700_000),
         (500_000, 1_900_000),
         (1_000_000, 1_900_000),
@@ -54,7 +57,7 @@
                 let timeouts = DiscoveryTimeouts::new(DRAIN_GRACE, mode);
                 let delay = AnswerDelay::Fixed(delay);
                 let mut fixture = Fixture::new(&fixture_simulation, false, timeouts, delay);
-                fixture.add_agents(ADDRESSES);
+                fixture.add_agents(MIN_ADDRESSES.max(MIN_DURATION / interval) as usize);
                 fixture.agents.iter().for_each(|(agent, _)| agent.lock().lists_as_requested = as_requested);
                 fixture.wait_for_version(1).await;
                 fixture.sleep(3_000_000).await;
@@ -71,3 +74,54 @@
         }
     }
 }
+
+/// Returns the number of requests for lists and for watches that all agents got.
+fn requests(fixture: &Fixture) -> (usize, usize) {
+    let agents = fixture.agents.iter().map(|(agent, _)| agent.lock());
+    agents.fold((0, 0), |sum, agent| (sum.0 + agent.list_requests, sum.1 + agent.watch_requests))
+}
+
+/// Guards against calls that the former address costs: one new address is as many calls as before former ones were listened to.
+#[test]
+fn a_new_address_costs_no_further_calls() {
+    const SLOW: Micros = 1_900_000;
+    // The delay of answers, whether the former address tells a change before the new one answers, and the requests for lists and
+    // for watches.
+    let cases = [
+        (Discovery::Push, 0, false, (1, 1)),
+        (Discovery::Push, SLOW, false, (3, 1)),
+        (Discovery::Push, SLOW, true, (3, 1)),
+        (Discovery::Poll, 0, false, (0, 1)),
+        (Discovery::Poll, SLOW, false, (0, 1)),
+        (Discovery::Poll, SLOW, true, (0, 1)),
+    ];
+    for (mode, delay, changes, expected) in cases {
+        let simulation = Simulation::new(1, START);
+        let fixture_simulation = simulation.clone();
+        let counted = simulation.run(async move {
+            let timeouts = DiscoveryTimeouts::new(DRAIN_GRACE, mode);
+            let fixture = Fixture::new(&fixture_simulation, false, timeouts, AnswerDelay::Fixed(delay));
+            fixture.agents.iter().for_each(|(agent, _)| agent.lock().lists_as_requested = true);
+            fixture.wait_for_version(1).await;
+            fixture.sleep(3_000_000).await;
+            // A follower of a polled service that has lost a watch begins with a watch from now on.
+            fixture.reset_watches();
+            fixture.sleep(8_000_000).await;
+            let before = requests(&fixture);
+            fixture.address_changes.send(fixture.agents[1].1).await.unwrap();
+            fixture.sleep(500_000).await;
+            fixture.agent().retire();
+            if changes {
+                fixture.change_to_version(2);
+            }
+            fixture.sleep(20_000_000).await;
+            let after = requests(&fixture);
+            (after.0 - before.0, after.1 - before.1)
+        });
+        assert_eq!(
+            counted,
+            Some(expected),
+            "{mode:?}, answers after {delay} us, a change meanwhile: {changes}"
+        );
+    }
+}
--- a/crates/platform/tests/simulated_discovery/mod.rs
+++ b/crates/platform/tests/simulated_discovery/mod.rs
@@ -110,6 +110,13 @@
         }
     }
 
+    /// Takes connections again after [`Agent::retire`].
+    pub fn revive(&mut self) {
+        let (active, retired) = async_channel::bounded(1);
+        self.active = Some(active);
+        self.retired = retired;
+    }
+
     /// Takes no new connection from now on, and closes the open ones after [`RETIREMENT`].
     pub fn retire(&mut self) {
         self.active = None;
@@ -131,12 +138,25 @@
         self.0.lock().unwrap()
     }
 
-    /// Encodes a list with one backend, which is named after the version.
-    fn list(&self, complete: bool) -> String {
+    /// Encodes the complete list: a backend for each version, whose name and port are the version.
+    fn complete_list(&self) -> String {
+        self.list(true, 0)
+    }
+
+    /// Encodes the changes after the version `known`.
+    fn changes(&self, known: u64) -> String {
+        self.list(false, known)
+    }
+
+    fn list(&self, complete: bool, known: u64) -> String {
         let agent = self.lock();
-        let name = format!("s-{}", agent.version);
-        let host = serde_json::json!({"host": name, "dial": "10.0.0.9:1", "health": "ready"});
-        let list = serde_json::json!({"seq": agent.version, "whole": complete, "hosts": [host]});
+        let first = (known + 1).min(agent.version);
+        let host = |version| {
+            let (name, dial) = (format!("s-{version}"), format!("10.0.0.9:{version}"));
+            serde_json::json!({"host": name, "dial": dial, "health": "ready"})
+        };
+        let hosts: Vec<_> = (first..=agent.version).map(host).collect();
+        let list = serde_json::json!({"seq": agent.version, "whole": complete, "hosts": hosts});
         let text = if agent.indent { serde_json::to_string_pretty(&list).unwrap() } else { list.to_string() };
         let length = text.len() - usize::from(agent.behaviour == Behaviour::Truncating);
         text[..length].to_owned() + "\n"
@@ -170,7 +190,7 @@
             let _ = stream.write_all(b"HTTP/1.1 503 Busy\r\ncontent-length: 0\r\n\r\n").await;
             return;
         }
-        let list_as_requested = self.list(true);
+        let list_as_requested = self.complete_list();
         self.wait_for_turn(&runtime).await;
         if self.lock().behaviour == Behaviour::Unresponsive {
             return future::pending().await;
@@ -180,7 +200,7 @@
             return self.serve_watch(runtime, stream, generation, request.known_version.min(version)).await;
         }
         let as_requested = self.lock().lists_as_requested;
-        let text = if as_requested { list_as_requested } else { self.list(true) };
+        let text = if as_requested { list_as_requested } else { self.complete_list() };
         let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", text.len());
         let _ = stream.write_all((head + &text).as_bytes()).await;
     }
@@ -236,7 +256,7 @@
             }
             let changed = self.lock().version != version;
             let text = match changed {
-                true => self.list(false),
+                true => self.changes(version),
                 false if runtime.now() < last_sent + 2_000_000 => continue,
                 false => "\n".to_owned(),
             };
