Readability: discovery's follower is three modules; a bool in place of an enum beside another

The follower of one address, its open calls and what it shares with the calls to former addresses have modules of their own. `FirstRequest` stood beside `ListRequest` and said whether an attempt begins with the complete list; a method says so now. The registry's revision is recorded after its list was sent to the driver, not before; only the end of the instance can come between, so nothing changes for callers. Behaviour stays as it is.

--- a/crates/gateway/src/discovery/service.rs
+++ b/crates/gateway/src/discovery/service.rs
@@ -103,7 +103,7 @@
     address: SocketAddr,
     driver: Sender<DriverEvent>,
     alive: Receiver<()>,
-    /// Revision of the last list that arrived.
+    /// Revision of the last list that the driver was sent.
     revision: u64,
 }
 
@@ -213,9 +213,10 @@
             let message = body.message().map_err(|status| CallError::InvalidList(status.to_string()))?;
             let Some(message) = message else { return Ok(()) };
             let list = decode(message).map_err(CallError::InvalidList)?;
-            self.revision = list.revision;
+            let revision = list.revision;
             let event = DriverEvent::NodeList { list: Box::new(list), cached: false };
             self.driver.send(event).await.map_err(|_| CallError::Stopped)?;
+            self.revision = revision;
         }
     }
 }
--- a/crates/platform/src/discovery/backoff.rs
+++ b/crates/platform/src/discovery/backoff.rs
@@ -24,14 +24,6 @@
 /// before the end, one that is rejected at once and one that waits in the queue fit into that, with their delays.
 const MAX_REJECTION_DOUBLINGS: u32 = 2;
 
-/// The first request of an attempt to follow discovery.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum FirstRequest {
-    CompleteList,
-    /// A watch, which returns the changes since the version of the current list.
-    Watch,
-}
-
 /// Delay, timeouts and first request of the next attempt, by the answers and failures so far.
 pub(super) struct Backoff {
     timeouts: DiscoveryTimeouts,
@@ -65,12 +57,9 @@
         }
     }
 
-    /// Returns the first request of the next attempt.
-    pub(super) fn first_request(&self) -> FirstRequest {
-        match self.timeouts.mode {
-            Discovery::Poll if !self.needs_complete_list => FirstRequest::Watch,
-            Discovery::Poll | Discovery::Push => FirstRequest::CompleteList,
-        }
+    /// Whether the next attempt begins with the complete list, and not with a watch from the version of the current list.
+    pub(super) fn begins_with_complete_list(&self) -> bool {
+        self.timeouts.mode == Discovery::Push || self.needs_complete_list
     }
 
     /// Returns how many calls of a request may be open, and for how long.
--- a/crates/platform/src/discovery/mod.rs
+++ b/crates/platform/src/discovery/mod.rs
@@ -1,10 +1,11 @@
 //! Follows discovery as long as the ingress runs: requests the complete list of endpoints, then watches for changes.
 //!
-//! With [`Discovery::Push`] every attempt begins with the complete list. That also covers
+//! With [`Discovery::Push`](chalkgap_core::Discovery::Push) every attempt begins with the complete list. That also covers
 //! changes missed between two watches, truncated lists and restarted version numbers. With
-//! [`Discovery::Poll`] a watch from the version of the current list covers them in one
+//! [`Discovery::Poll`](chalkgap_core::Discovery::Poll) a watch from the version of the current list covers them in one
 //! request.
 
+mod address_follower;
 mod answer_times;
 mod applied_lists;
 mod backoff;
@@ -13,28 +14,25 @@
 mod former_calls;
 mod hedged_request;
 mod hedging;
+mod shared_state;
 mod timeouts;
 
 pub use timeouts::DiscoveryTimeouts;
 
 use crate::endpoint_set::EndpointSet;
-use applied_lists::{AppliedLists, ListOutcome};
+use address_follower::{AddressFollower, OpenCalls, Stopped};
+use applied_lists::AppliedLists;
 use async_channel::{Receiver, Sender};
-use backoff::{Backoff, FirstRequest};
-use call::{DiscoveryCall, FailedCall, ListRequest, ReceivedList};
+use backoff::Backoff;
+use call::FailedCall;
 use chalkgap::frontend::EndpointPublisher;
-use chalkgap_core::Discovery;
 use chalkgap_runtime::{Micros, Shared};
-use chalkgap_transport::{MemoryBudget, MemoryReservation};
-use error::DiscoveryError;
+use chalkgap_transport::MemoryReservation;
 use former_calls::FormerCalls;
 use futures_lite::future;
-use hedged_request::HedgedRequest;
-use std::convert::Infallible;
+use shared_state::SharedState;
 use std::future::poll_fn;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::task::{ready, Context, Poll};
 
 /// Keeps the driver's endpoints up to date with discovery.
 ///
@@ -115,136 +113,6 @@
     }
 }
 
-/// What the follower of the current address shares with the calls to former ones. Both run in one task, and lock it only within a
-/// poll.
-struct SharedState(Mutex<FollowerState>);
-
-struct FollowerState {
-    lists: AppliedLists,
-    former: FormerCalls,
-}
-
-impl SharedState {
-    fn new(lists: AppliedLists, former: FormerCalls) -> SharedState {
-        SharedState(Mutex::new(FollowerState { lists, former }))
-    }
-
-    fn lock(&self) -> MutexGuard<'_, FollowerState> {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
-    /// Applies a list of the current address. It is authoritative: the calls to former addresses have nothing to add then.
-    fn apply(&self, address: SocketAddr, received: &ReceivedList) -> Result<(), DiscoveryError> {
-        let mut state = self.lock();
-        if state.lists.apply(address, received)? == ListOutcome::Applied {
-            state.former.clear();
-        }
-        Ok(())
-    }
-
-    /// Applies the lists of former addresses. Never ready.
-    fn poll_former_calls(&self, cx: &mut Context<'_>) -> Poll<Infallible> {
-        let mut state = self.lock();
-        loop {
-            let (address, received) = ready!(state.former.poll_list(cx));
-            state.lists.apply_from_former_address(address, &received);
-        }
-    }
-}
-
-/// The open calls to the current address.
-#[derive(Default)]
-struct OpenCalls {
-    /// The calls of a request that is not answered yet, the one made first first.
-    requests: Vec<DiscoveryCall>,
-    watch: Option<DiscoveryCall>,
-}
-
-impl OpenCalls {
-    fn into_iter(self) -> impl Iterator<Item = DiscoveryCall> {
-        self.watch.into_iter().chain(self.requests)
-    }
-}
-
-/// Follows discovery at one address. When it is dropped, its open calls stay open.
-struct AddressFollower<'a> {
-    runtime: &'a Shared,
-    /// Limits lists that are being received.
-    memory: &'a Arc<MemoryBudget>,
-    state: &'a SharedState,
-    address: SocketAddr,
-    timeouts: DiscoveryTimeouts,
-    backoff: &'a mut Backoff,
-    open_calls: &'a mut OpenCalls,
-}
-
-impl AddressFollower<'_> {
-    /// Follows discovery until the ingress stops.
-    async fn follow(&mut self) -> Result<Infallible, Stopped> {
-        loop {
-            let Err(failed) = self.follow_lists().await;
-            *self.open_calls = OpenCalls::default();
-            let has_list = {
-                let state = self.state.lock();
-                if state.lists.is_closed() {
-                    return Err(Stopped);
-                }
-                state.lists.has_list()
-            };
-            let is_first = self.backoff.record_failure(&failed, has_list);
-            log_failure(self.address, &failed, is_first);
-            let delay = self.backoff.delay_after(&failed.error);
-            self.runtime.sleep_until(self.runtime.now() + jittered(self.runtime, delay)).await;
-        }
-    }
-
-    /// Applies lists from discovery until a watch fails or a list is rejected.
-    async fn follow_lists(&mut self) -> Result<Infallible, FailedCall> {
-        let mut version = self.state.lock().lists.version();
-        if self.backoff.first_request() == FirstRequest::CompleteList {
-            // The watch continues this list, also if a former address has told a newer one.
-            version = self.request(ListRequest::Complete { current: version }).await?.version();
-        }
-        let request = ListRequest::Watch { from: version };
-        let watch = match self.timeouts.mode {
-            Discovery::Push => DiscoveryCall::start(self.runtime, self.memory, self.address, request)?,
-            Discovery::Poll => self.request(request).await?,
-        };
-        let watch = self.open_calls.watch.insert(watch);
-        let timeouts = self.backoff.watch_timeouts();
-        loop {
-            let received = watch.next_list(timeouts).await;
-            let applied = received.and_then(|received| self.state.apply(self.address, &received));
-            applied.map_err(|error| watch.failed(error))?;
-            self.backoff.list_applied();
-        }
-    }
-
-    /// Makes a request until it is answered, and applies the list of the answer. Returns the call that was answered.
-    async fn request(&mut self, request: ListRequest) -> Result<DiscoveryCall, FailedCall> {
-        let has_list = self.state.lock().lists.has_list();
-        let calls = &mut self.open_calls.requests;
-        let hedged = HedgedRequest::new(
-            self.runtime,
-            self.memory,
-            self.address,
-            request,
-            has_list,
-            self.backoff,
-            calls,
-        );
-        let (call, received) = hedged.answer().await;
-        if let Some(received) = received {
-            self.state.apply(self.address, &received).map_err(|error| call.failed(error))?;
-            self.backoff.list_applied();
-        }
-        Ok(call)
-    }
-}
-
-/// The ingress has stopped.
-struct Stopped;
-
 /// Waits for an address other than `current`. Returns `None` when the ingress stops.
 async fn next_address(new_addresses: &Receiver<SocketAddr>, current: SocketAddr) -> Option<SocketAddr> {
     loop {
