A new address of discovery does not inherit the timeouts of stalling lists

What callers would see: a backend that drains gets new requests for 2 s longer than allowed, if discovery's lists stalled halfway before a new configuration and the first call to the new address hangs.

Cause: lists that arrive only in part double the time of a call, up to eight times. A new address forgot the backoff and the answer times of the old one, but not these doublings, nor the count of rejected polls; a call that hung there was late after 6 s in place of 0.75 s.

Fix: both counts belong to what is learned from an address, and are forgotten with it.

--- a/crates/platform/src/discovery/backoff.rs
+++ b/crates/platform/src/discovery/backoff.rs
@@ -153,6 +153,8 @@
     pub(super) fn address_changed(&mut self) {
         self.delay = MIN_BACKOFF_MICROS;
         self.outage_suspected = false;
+        self.slow_lists = 0;
+        self.rejections = 0;
         self.answer_times.clear();
     }
 }
--- a/crates/platform/tests/new_addresses.rs
+++ b/crates/platform/tests/new_addresses.rs
@@ -4,7 +4,9 @@
 use chalkgap_platform::discovery::DiscoveryTimeouts;
 use chalkgap_runtime::simulated_runtime::Simulation;
 use chalkgap_runtime::Micros;
-use simulated_discovery::{run_test_in_mode, AnswerDelay, Fixture, CHECK_INTERVAL, DRAIN_GRACE, START};
+use simulated_discovery::{
+    run_test_in_mode, AnswerDelay, Behaviour, Fixture, CHECK_INTERVAL, DRAIN_GRACE, START,
+};
 
 mod simulated_discovery;
 
@@ -75,6 +77,25 @@
     }
 }
 
+/// Guards against a new address whose first call hangs and is waited for as long as the lists of the old address, which arrived only in
+/// part, might have needed.
+#[test]
+fn lists_that_stall_at_the_old_address_do_not_delay_the_new_one() {
+    /// What discovery has to tell counts as told this long after a new address.
+    const MAX_ADDRESS_NOTIFICATION: Micros = 4_000_000;
+    for seed in 0..SEEDS {
+        run_test_in_mode(seed, false, Discovery::Push, move |fixture| async move {
+            fixture.silence_watches(Behaviour::Stalling);
+            fixture.sleep(30_000_000 + seed * 137_000).await;
+            fixture.change_to_version(2);
+            fixture.agents[1].0.lock().ignore_next = 1;
+            fixture.address_changes.send(fixture.agents[1].1).await.unwrap();
+            let elapsed = fixture.wait_for_version(2).await;
+            assert!(elapsed <= MAX_ADDRESS_NOTIFICATION, "seed {seed}: {elapsed} us");
+        });
+    }
+}
+
 /// Returns the number of requests for lists and for watches that all agents got.
 fn requests(fixture: &Fixture) -> (usize, usize) {
     let agents = fixture.agents.iter().map(|(agent, _)| agent.lock());
--- a/crates/platform/tests/random_addresses.rs
+++ b/crates/platform/tests/random_addresses.rs
@@ -20,7 +20,7 @@
 const LONG_RUN_SEEDS: u64 = 5000;
 /// One in this many addresses is faulty.
 const FAULTY_SHARE: u64 = 5;
-const FAULT_KINDS: u64 = 4;
+const FAULT_KINDS: u64 = 5;
 /// One in this many addresses is the one before the last again.
 const RETURN_SHARE: u64 = 8;
 /// Longest time by which some agents get a change later than others.
@@ -120,7 +120,8 @@
         0 => agent.lock().behaviour = Behaviour::Unresponsive,
         1 => agent.lock().behaviour = Behaviour::Rejecting,
         2 => agent.lock().behaviour = Behaviour::Truncating,
-        3 => agent.lock().retire(),
+        3 => agent.lock().behaviour = Behaviour::Stalling,
+        4 => agent.lock().retire(),
         _ => {}
     }
     draw < FAULT_KINDS
--- a/crates/platform/tests/simulated_discovery/mod.rs
+++ b/crates/platform/tests/simulated_discovery/mod.rs
@@ -37,6 +37,8 @@
     Unresponsive,
     /// It omits the last bracket of each list and sends empty lines after it.
     Truncating,
+    /// It sends half of each complete list and then nothing more.
+    Stalling,
     /// A polled service during an outage: it rejects each request after [`MAX_POLL_WAIT`].
     Rejecting,
 }
@@ -202,7 +204,13 @@
         let as_requested = self.lock().lists_as_requested;
         let text = if as_requested { list_as_requested } else { self.complete_list() };
         let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", text.len());
-        let _ = stream.write_all((head + &text).as_bytes()).await;
+        let response = head + &text;
+        if self.lock().behaviour == Behaviour::Stalling {
+            let sent = response.len() - text.len() / 2;
+            let _ = stream.write_all(&response.as_bytes()[..sent]).await;
+            return future::pending().await;
+        }
+        let _ = stream.write_all(response.as_bytes()).await;
     }
 
     /// Counts a request. Returns the generation of watches and the version at its time; `None` if it is never answered.
